--- /dev/null
+++ b/conn/mesh.go
@@ -0,0 +1,529 @@
+// SPDX-License-Identifier: MIT
+
+package conn
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"streambend.example/version"
+)
+
+// MemberState is what is thought of a daemon.
+type MemberState int
+
+// The states of a member, in the order in which they replace each other.
+const (
+	MemberAlive MemberState = iota
+	MemberSuspect
+	MemberDead
+	MemberLeft // a planned stop
+)
+
+// String returns the state's name.
+func (s MemberState) String() string {
+	return [...]string{"alive", "suspect", "dead", "left"}[s]
+}
+
+// Member is one daemon as the others know it.
+type Member struct {
+	Name    string      `codec:"n"`
+	Start   int64       `codec:"i"` // time of its start, Unix milliseconds; tells restarts apart
+	Address string      `codec:"a"` // host:port for peers
+	Zone    string      `codec:"z"`
+	State   MemberState `codec:"s,omitempty"`
+	Refuted int         `codec:"r,omitempty"` // how often it has denied a suspicion
+}
+
+// newer reports whether a replaces b.
+func (m Member) newer(b Member) bool {
+	if m.Start != b.Start {
+		return m.Start > b.Start
+	}
+	if m.State == MemberLeft || b.State == MemberLeft {
+		return m.State == MemberLeft && b.State != MemberLeft
+	}
+	if m.Refuted != b.Refuted {
+		return m.Refuted > b.Refuted
+	}
+	return m.State > b.State
+}
+
+// Notice tells that a box leaves.
+type Notice struct {
+	Box      string    `codec:"b"`
+	Deadline time.Time `codec:"d"`
+}
+
+// LoadClass tells the load class of an endpoint.
+type LoadClass struct {
+	Box   string `codec:"b"`
+	Class int    `codec:"c"`
+}
+
+// Demand tells how many requests a daemon has of a service and a team.
+type Demand struct {
+	Service string `codec:"s"`
+	Team    string `codec:"t"`
+	Count   int    `codec:"c"`
+}
+
+// Payload is what a daemon tells all others. Fields that a receiver does not
+// know are skipped, so that versions of the daemon can differ.
+type Payload struct {
+	Entries []version.Entry `codec:"e,omitempty"`
+	Config  *version.Config `codec:"c,omitempty"` // a whole configuration, for who is far behind
+	Notices []Notice        `codec:"n,omitempty"`
+	Loads   []LoadClass     `codec:"l,omitempty"`
+	Demands []Demand        `codec:"d,omitempty"`
+}
+
+// message is what crosses a link. A flooded one has a sequence number.
+type message struct {
+	Origin  string   `codec:"o,omitempty"`
+	Start   int64    `codec:"i,omitempty"`
+	Seq     uint64   `codec:"s,omitempty"`
+	Payload *Payload `codec:"p,omitempty"`
+	Members []Member `codec:"m,omitempty"`
+	Beat    *beat    `codec:"b,omitempty"`
+	Want    int64    `codec:"w,omitempty"` // asks for entries after this version, plus one
+	Ask     *ask     `codec:"q,omitempty"`
+}
+
+// beat is a heartbeat between neighbours. The digest tells whether both know
+// the same members; only if not do they exchange them.
+type beat struct {
+	Digest  uint64 `codec:"d"`
+	Version int64  `codec:"v"`
+	Full    bool   `codec:"f,omitempty"` // answers with our whole list
+}
+
+// Timing holds the periods of the overlay.
+type Timing struct {
+	Beat    time.Duration // between heartbeats to a neighbour
+	Silence time.Duration // without a heartbeat a neighbour is suspected
+	Refute  time.Duration // time a suspect has to deny it
+	Forget  time.Duration // how long dead members are remembered
+}
+
+// DefaultTiming returns the periods of an ordinary daemon.
+func DefaultTiming() Timing {
+	return Timing{Beat: time.Second, Silence: 3500 * time.Millisecond, Refute: 3 * time.Second, Forget: 10 * time.Minute}
+}
+
+// spreadMost is how many members out of a neighbour's whole list are passed
+// on. With more than that we are the ones that were away, and the digests of
+// the next heartbeats settle the rest.
+const spreadMost = 8
+
+// Send is one frame for one neighbour.
+type Send struct {
+	To    string // name of the member
+	Frame []byte
+}
+
+// Delivery is what a frame has brought.
+type Delivery struct {
+	From    string // the daemon that said it first
+	Payload Payload
+	Want    int64 // the neighbour asks for entries after Want-1; 0 for no
+}
+
+type known struct {
+	Member
+	since time.Time // when the state was taken in
+}
+
+type neighbour struct {
+	heard  time.Time
+	differ int // heartbeats in a row whose digest was not ours
+}
+
+// Mesh decides what a daemon tells its neighbours. It does no input or output.
+type Mesh struct {
+	timing Timing
+
+	mu         sync.Mutex
+	self       Member
+	members    map[string]*known
+	neighbours map[string]*neighbour
+	seen       map[origin]*window
+	seq        uint64
+	version    int64
+	digest     uint64
+	lastBeat   time.Time
+}
+
+type origin struct {
+	name  string
+	start int64
+}
+
+// window tells which sequence numbers of an origin have been seen.
+type window struct {
+	top  uint64
+	bits uint64 // bit i: top-i was seen
+}
+
+func (w *window) take(seq uint64) bool {
+	switch {
+	case seq > w.top:
+		if d := seq - w.top; d < 64 {
+			w.bits = w.bits<<d | 1
+		} else {
+			w.bits = 1
+		}
+		w.top = seq
+		return true
+	case w.top-seq >= 64:
+		return false
+	}
+	bit := uint64(1) << (w.top - seq)
+	fresh := w.bits&bit == 0
+	w.bits |= bit
+	return fresh
+}
+
+// NewMesh returns the overlay of a daemon that knows no other yet.
+func NewMesh(self Member, t Timing) *Mesh {
+	m := &Mesh{
+		timing: t, self: self, members: make(map[string]*known),
+		neighbours: make(map[string]*neighbour), seen: make(map[origin]*window),
+	}
+	m.members[self.Name] = &known{Member: self}
+	m.redigest()
+	return m
+}
+
+// SetVersion sets the version of the configuration that heartbeats tell of.
+func (m *Mesh) SetVersion(v int64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.version = v
+}
+
+// Members returns all members that are alive or suspected, by name.
+func (m *Mesh) Members() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.live()
+}
+
+func (m *Mesh) live() []Member {
+	var out []Member
+	for _, k := range m.members {
+		if k.State <= MemberSuspect {
+			out = append(out, k.Member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Neighbours returns how many links are up.
+func (m *Mesh) Neighbours() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.neighbours)
+}
+
+// Learn takes in members found elsewhere, such as in the table.
+func (m *Mesh) Learn(now time.Time, ms []Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, x := range ms {
+		if x.Name != m.self.Name {
+			m.merge(now, x)
+		}
+	}
+}
+
+// merge takes a member in and reports whether that was news.
+func (m *Mesh) merge(now time.Time, x Member) bool {
+	k := m.members[x.Name]
+	if k != nil && !x.newer(k.Member) {
+		return false
+	}
+	if k == nil && x.State > MemberSuspect {
+		return false // a dead daemon that we never knew
+	}
+	m.members[x.Name] = &known{Member: x, since: now}
+	m.redigest()
+	return true
+}
+
+func (m *Mesh) redigest() {
+	var d uint64
+	for _, k := range m.members {
+		if k.State <= MemberSuspect {
+			d ^= xxhash.Sum64String(k.Name) * uint64(k.Start+int64(k.Refuted)+1)
+		}
+	}
+	m.digest = d
+}
+
+// ringPlace orders the members of the overlay. By hash, so that neighbours
+// are spread over the availability zones and the loss of one leaves no gap.
+func ringPlace(x Member) uint64 { return xxhash.Sum64String(x.Name) }
+
+// Wanted returns the members to have links with: those at ±1, ±2, ±4 … places
+// on the ring. Every daemon that knows the same members wants the same links.
+func (m *Mesh) Wanted() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ring := m.live()
+	slices.SortFunc(ring, func(a, b Member) int { return cmp.Compare(ringPlace(a), ringPlace(b)) })
+	n := len(ring)
+	at := slices.IndexFunc(ring, func(x Member) bool { return x.Name == m.self.Name })
+	if at < 0 || n < 2 {
+		return nil
+	}
+	picked := make(map[int]bool)
+	var out []Member
+	for d := 1; d <= n/2; d *= 2 {
+		for _, i := range [2]int{(at + d) % n, (at - d + n) % n} {
+			if i != at && !picked[i] {
+				picked[i] = true
+				out = append(out, ring[i])
+			}
+		}
+	}
+	return out
+}
+
+// Up takes a new link in and greets the neighbour with all members known.
+func (m *Mesh) Up(now time.Time, peer Member) []Send {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	fresh := m.merge(now, peer)
+	m.neighbours[peer.Name] = &neighbour{heard: now}
+	out := []Send{m.to(peer.Name, message{Members: m.all(), Beat: m.beat()})}
+	if fresh {
+		out = append(out, m.spread([]Member{peer}, peer.Name)...)
+	}
+	return out
+}
+
+// Down takes in that a link is closed.
+func (m *Mesh) Down(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.neighbours, name)
+}
+
+func (m *Mesh) all() []Member {
+	out := make([]Member, 0, len(m.members))
+	for _, k := range m.members {
+		out = append(out, k.Member)
+	}
+	return out
+}
+
+func (m *Mesh) beat() *beat { return &beat{Digest: m.digest, Version: m.version} }
+
+func (m *Mesh) to(name string, msg message) Send { return Send{To: name, Frame: encode(msg)} }
+
+// spread tells all neighbours but one of members. It needs no number: whoever
+// takes it in passes on only what was news to it, so it ends by itself.
+func (m *Mesh) spread(ms []Member, except string) []Send {
+	return m.forward(encode(message{Members: ms}), except, "")
+}
+
+// flood gives a message a number and sends it to all neighbours but one.
+func (m *Mesh) flood(msg message, except string) []Send {
+	m.seq++
+	msg.Origin, msg.Start, msg.Seq = m.self.Name, m.self.Start, m.seq
+	return m.forward(encode(msg), except, "")
+}
+
+func (m *Mesh) forward(frame []byte, except, origin string) []Send {
+	out := make([]Send, 0, len(m.neighbours))
+	for name := range m.neighbours {
+		if name != except && name != origin {
+			out = append(out, Send{To: name, Frame: frame})
+		}
+	}
+	slices.SortFunc(out, func(a, b Send) int { return strings.Compare(a.To, b.To) })
+	return out
+}
+
+// Tell floods a payload to all daemons.
+func (m *Mesh) Tell(p Payload) []Send {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.flood(message{Payload: &p}, "")
+}
+
+// Give sends a payload to one neighbour only.
+func (m *Mesh) Give(name string, p Payload) Send {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.to(name, message{Origin: m.self.Name, Payload: &p})
+}
+
+// Leave floods that this daemon stops as planned.
+func (m *Mesh) Leave(now time.Time) []Send {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.self.State = MemberLeft
+	m.merge(now, m.self)
+	return m.spread([]Member{m.self}, "")
+}
+
+// Tick sends heartbeats, and suspects and buries members.
+func (m *Mesh) Tick(now time.Time) []Send {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Send
+	if now.Sub(m.lastBeat) >= m.timing.Beat {
+		m.lastBeat = now
+		out = m.forward(encode(message{Beat: m.beat()}), "", "")
+	}
+	for name, nb := range m.neighbours {
+		k := m.members[name]
+		if k == nil || k.State != MemberAlive || now.Sub(nb.heard) < m.timing.Silence {
+			continue
+		}
+		out = append(out, m.suspect(now, k)...)
+	}
+	m.bury(now)
+	return out
+}
+
+// Suspect takes in that a member cannot be reached, and floods it.
+func (m *Mesh) Suspect(now time.Time, name string) []Send {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if k := m.members[name]; k != nil && k.State == MemberAlive && name != m.self.Name {
+		return m.suspect(now, k)
+	}
+	return nil
+}
+
+func (m *Mesh) suspect(now time.Time, k *known) []Send {
+	x := k.Member
+	x.State = MemberSuspect
+	m.merge(now, x)
+	return m.spread([]Member{x}, "")
+}
+
+// bury turns suspects whose time is over into dead ones, and forgets the dead
+// after a while.
+func (m *Mesh) bury(now time.Time) {
+	changed := false
+	for name, k := range m.members {
+		switch {
+		case k.State == MemberSuspect && now.Sub(k.since) >= m.timing.Refute:
+			k.State, k.since, changed = MemberDead, now, true
+			delete(m.neighbours, name)
+		case k.State > MemberSuspect && now.Sub(k.since) >= m.timing.Forget:
+			delete(m.members, name)
+			for o := range m.seen {
+				if o.name == name {
+					delete(m.seen, o)
+				}
+			}
+		}
+	}
+	if changed {
+		m.redigest()
+	}
+}
+
+// Receive takes a frame from a neighbour in. It returns what to send on and
+// what the frame has brought.
+func (m *Mesh) Receive(now time.Time, from string, frame []byte) ([]Send, []Delivery, error) {
+	var msg message
+	if err := decode(frame, &msg); err != nil {
+		return nil, nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if nb := m.neighbours[from]; nb != nil {
+		nb.heard = now
+	}
+	var out []Send
+	if msg.Seq > 0 {
+		if msg.Origin == m.self.Name || !m.fresh(msg) {
+			return nil, nil, nil
+		}
+		out = m.forward(frame, from, msg.Origin)
+	}
+	news := m.takeMembers(now, msg.Members)
+	if len(news) > 0 && (msg.Beat == nil || len(news) <= spreadMost) {
+		out = append(out, m.spread(news, from)...)
+	}
+	out = append(out, m.deny(now)...)
+	var in []Delivery
+	if msg.Payload != nil {
+		in = append(in, Delivery{From: msg.Origin, Payload: *msg.Payload})
+	}
+	if msg.Want > 0 {
+		in = append(in, Delivery{From: from, Want: msg.Want})
+	}
+	if msg.Beat != nil {
+		out = append(out, m.takeBeat(from, *msg.Beat)...)
+	}
+	return out, in, nil
+}
+
+func (m *Mesh) fresh(msg message) bool {
+	o := origin{msg.Origin, msg.Start}
+	w := m.seen[o]
+	if w == nil {
+		w = &window{}
+		m.seen[o] = w
+	}
+	return w.take(msg.Seq)
+}
+
+func (m *Mesh) takeMembers(now time.Time, ms []Member) (news []Member) {
+	for _, x := range ms {
+		if m.merge(now, x) {
+			news = append(news, x)
+		}
+	}
+	return news
+}
+
+// deny answers a suspicion of ourselves.
+func (m *Mesh) deny(now time.Time) []Send {
+	k := m.members[m.self.Name]
+	if k.Start != m.self.Start || k.State == MemberAlive || m.self.State == MemberLeft {
+		return nil
+	}
+	m.self.Refuted = k.Refuted + 1
+	m.members[m.self.Name] = &known{Member: m.self, since: now}
+	m.redigest()
+	return m.spread([]Member{m.self}, "")
+}
+
+// takeBeat compares a neighbour's heartbeat with what we know.
+func (m *Mesh) takeBeat(from string, b beat) []Send {
+	var out []Send
+	nb := m.neighbours[from]
+	if nb == nil {
+		return nil
+	}
+	nb.differ++
+	if b.Digest == m.digest {
+		nb.differ = 0
+	}
+	// A change on its way makes digests differ for a moment; only what lasts
+	// is worth a whole list.
+	if nb.differ >= 2 && !b.Full {
+		nb.differ = 0
+		reply := m.beat()
+		reply.Full = true
+		out = append(out, m.to(from, message{Members: m.all(), Beat: reply}))
+	}
+	if b.Version > m.version {
+		out = append(out, m.to(from, message{Want: m.version + 1}))
+	}
+	return out
+}
--- /dev/null
+++ b/internal/standin/engine.go
@@ -0,0 +1,218 @@
+// SPDX-License-Identifier: MIT
+
+package standin
+
+import (
+	"container/heap"
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// EngineConfig is the speed and the size of a model engine.
+type EngineConfig struct {
+	Batch       int           // requests that run together
+	Step        time.Duration // between two tokens of a request in an empty batch
+	Crowd       float64       // by how much a full batch lengthens Step
+	Prefill     float64       // prompt tokens a second
+	CacheBlocks int           // blocks the prefix cache holds
+	Lag         time.Duration // how late the load report is
+	Transfer    float64       // tokens of KV a second over the network
+	ChecksFence bool
+}
+
+// EngineFault is a way in which an engine misbehaves. The zero value is none.
+type EngineFault struct {
+	CutAfter   int  // closes the connection after so many tokens
+	StallAfter int  // stops sending after so many tokens
+	Garble     bool // sends the answer of another request
+	Short      bool // ends with the end marker after half the tokens
+	BlackHole  bool // takes requests and never answers
+	Refuse     bool // answers 503 before starting
+}
+
+// Engine is a model engine with continuous batching.
+type Engine struct {
+	cfg    EngineConfig
+	name   string
+	ledger *Ledger
+	server *http.Server
+	addr   string
+	done   chan struct{}
+
+	mu       sync.Mutex
+	fault    EngineFault
+	noticed  time.Time
+	running  int
+	waiting  waitHeap
+	arrivals int
+	cache    *simplelru.LRU[uint64, string] // block hash to cache key
+	reports  []loadReport
+	events   []cacheEvent
+	epoch    int64
+	prefill  sync.Mutex
+}
+
+// NewEngine starts an engine on a loopback port.
+func NewEngine(name string, cfg EngineConfig, ledger *Ledger) *Engine {
+	e := &Engine{cfg: cfg, name: name, ledger: ledger, done: make(chan struct{})}
+	e.cache, _ = simplelru.NewLRU(cfg.CacheBlocks, func(_ uint64, key string) { e.publish(key) })
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/completions", e.serveCompletion)
+	mux.HandleFunc("POST /v1/chat/completions", e.serveCompletion)
+	mux.HandleFunc("GET /load", e.serveLoad)
+	mux.HandleFunc("GET /kv/export", e.serveExport)
+	mux.HandleFunc("POST /kv/import", e.serveImport)
+	mux.HandleFunc("POST /order", e.serveOrder)
+	e.server, e.addr = listen(mux)
+	return e
+}
+
+// listen serves h on a loopback port of its own.
+func listen(h http.Handler) (*http.Server, string) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	s := &http.Server{Handler: h}
+	go s.Serve(l)
+	return s, l.Addr().String()
+}
+
+// Address returns host:port.
+func (e *Engine) Address() string { return e.addr }
+
+// Notice marks the engine as announced to leave.
+func (e *Engine) Notice(now time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.noticed = now
+}
+
+// Kill ends the engine and cuts its connections.
+func (e *Engine) Kill() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	select {
+	case <-e.done:
+	default:
+		close(e.done)
+		e.server.Close()
+	}
+}
+
+// SetFault replaces the fault in force.
+func (e *Engine) SetFault(f EngineFault) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.fault = f
+}
+
+// waiter is a request that waits for a place in the batch.
+type waiter struct {
+	priority int
+	order    int
+	ready    chan struct{}
+	index    int
+}
+
+type waitHeap []*waiter
+
+func (h waitHeap) Len() int { return len(h) }
+func (h waitHeap) Less(i, j int) bool {
+	if h[i].priority != h[j].priority {
+		return h[i].priority < h[j].priority
+	}
+	return h[i].order < h[j].order
+}
+func (h waitHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index, h[j].index = i, j
+}
+func (h *waitHeap) Push(x any) {
+	w := x.(*waiter)
+	w.index = len(*h)
+	*h = append(*h, w)
+}
+func (h *waitHeap) Pop() any {
+	old := *h
+	w := old[len(old)-1]
+	w.index = -1
+	*h = old[:len(old)-1]
+	return w
+}
+
+// enter waits for a place in the batch, in order of priority.
+func (e *Engine) enter(ctx context.Context, priority int) bool {
+	e.mu.Lock()
+	if e.running < e.cfg.Batch {
+		e.running++
+		e.report()
+		e.mu.Unlock()
+		return true
+	}
+	e.arrivals++
+	w := &waiter{priority: priority, order: e.arrivals, ready: make(chan struct{})}
+	heap.Push(&e.waiting, w)
+	e.report()
+	e.mu.Unlock()
+	select {
+	case <-w.ready:
+		return true
+	case <-ctx.Done():
+	case <-e.done:
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if w.index >= 0 {
+		heap.Remove(&e.waiting, w.index)
+	} else {
+		e.next()
+	}
+	return false
+}
+
+func (e *Engine) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.next()
+}
+
+// next hands a place in the batch on; the caller holds the lock.
+func (e *Engine) next() {
+	if len(e.waiting) > 0 {
+		w := heap.Pop(&e.waiting).(*waiter)
+		close(w.ready)
+	} else {
+		e.running--
+	}
+	e.report()
+}
+
+func (e *Engine) step() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	full := float64(e.running) / float64(e.cfg.Batch)
+	return time.Duration(float64(e.cfg.Step) * (1 + e.cfg.Crowd*full))
+}
+
+// pause waits d, or less if the request or the engine ends.
+func (e *Engine) pause(ctx context.Context, d time.Duration) bool {
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-e.done:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/ledger.go
@@ -0,0 +1,143 @@
+// SPDX-License-Identifier: MIT
+
+package standin
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// BlockTokens is how many tokens an engine caches together.
+const BlockTokens = 16
+
+// vocabulary bounds the token ids that engines generate.
+const vocabulary = 50000
+
+// Tokens returns the token ids of a text: one for each word.
+func Tokens(text string) []int {
+	words := strings.Fields(text)
+	ids := make([]int, len(words))
+	for i, w := range words {
+		ids[i] = int(xxhash.Sum64String(w) % vocabulary)
+	}
+	return ids
+}
+
+// fold carries the running hash of a context on by one token.
+func fold(state uint64, token int) uint64 {
+	x := state ^ (uint64(token) + 0x9e3779b97f4a7c15 + state<<6 + state>>2)
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	return x ^ x>>29
+}
+
+// contextHash is the hash of a whole context.
+func contextHash(tokens []int) uint64 {
+	var h uint64
+	for _, t := range tokens {
+		h = fold(h, t)
+	}
+	return h
+}
+
+// next returns the token that every engine generates after a context.
+func next(state uint64) int { return int(state>>7) % vocabulary }
+
+// Want returns the n tokens that a whole answer to the prompt consists of.
+func Want(prompt string, n int) []int {
+	state := contextHash(Tokens(prompt))
+	out := make([]int, n)
+	for i := range out {
+		out[i] = next(state)
+		state = fold(state, out[i])
+	}
+	return out
+}
+
+// Tally is what the endpoints have counted.
+type Tally struct {
+	Generated     int // tokens decoded
+	Prefilled     int // prompt tokens computed
+	Cached        int // prompt tokens found in a cache
+	Recomputed    int // tokens computed whose block had been computed before
+	RanTwice      int // unrepeatable requests that began more than once
+	Began         int // requests begun
+	StaleOrders   int // orders refused for their epoch
+	Orders        int
+	LeavingMax    time.Duration // from a notice to the last new work after it
+	NotRunDespite int           // filled in by the callers: refused as not run, yet begun
+}
+
+// Ledger is shared by all endpoints of a trial. It counts; nothing under test
+// reads it.
+type Ledger struct {
+	mu       sync.Mutex
+	t        Tally
+	begun    map[string]int
+	computed map[uint64]bool
+}
+
+// NewLedger returns an empty ledger.
+func NewLedger() *Ledger {
+	return &Ledger{begun: make(map[string]int), computed: make(map[uint64]bool)}
+}
+
+// Tally returns the counts so far.
+func (l *Ledger) Tally() Tally {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.t
+}
+
+// Begun returns how many endpoints began the caller's request.
+func (l *Ledger) Begun(id string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.begun[id]
+}
+
+func (l *Ledger) begin(id string, unrepeatable bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.t.Began++
+	l.begun[id]++
+	if unrepeatable && l.begun[id] == 2 {
+		l.t.RanTwice++
+	}
+}
+
+func (l *Ledger) leaving(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.t.LeavingMax = max(l.t.LeavingMax, d)
+}
+
+func (l *Ledger) order(stale bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.t.Orders++
+	if stale {
+		l.t.StaleOrders++
+	}
+}
+
+// block counts a block of tokens as computed.
+func (l *Ledger) block(hash uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.computed[hash] {
+		l.t.Recomputed += BlockTokens
+	}
+	l.computed[hash] = true
+}
+
+func (l *Ledger) tokens(generated, prefilled, cached int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.t.Generated += generated
+	l.t.Prefilled += prefilled
+	l.t.Cached += cached
+}
--- /dev/null
+++ b/internal/standin/memory.go
@@ -0,0 +1,216 @@
+// SPDX-License-Identifier: MIT
+
+package standin
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"streambend.example/platform"
+)
+
+// errFault is what a faulty call answers.
+var errFault = errors.New("standin: fault")
+
+// Fault says how a store misbehaves. The zero value is a healthy store.
+type Fault struct {
+	Down      bool          // calls fail before any effect
+	Delay     time.Duration // each call waits this long
+	LoseEvery int           // every n-th write takes effect and its answer is lost
+}
+
+// Faults is a switchable Fault.
+type Faults struct {
+	mu     sync.Mutex
+	f      Fault
+	writes int
+}
+
+// Set replaces the fault in force.
+func (s *Faults) Set(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.f = f
+}
+
+// begin waits the delay and reports whether the call may have an effect.
+func (s *Faults) begin(ctx context.Context) error {
+	s.mu.Lock()
+	f := s.f
+	s.mu.Unlock()
+	if f.Delay > 0 {
+		select {
+		case <-time.After(f.Delay):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if f.Down {
+		return errFault
+	}
+	return nil
+}
+
+// loses reports whether the answer of the write just done is lost.
+func (s *Faults) loses() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.writes++
+	return s.f.LoseEvery > 0 && s.writes%s.f.LoseEvery == 0
+}
+
+// Memory is a platform.Table held in memory.
+type Memory struct {
+	Faults Faults
+
+	mu     sync.Mutex
+	items  map[platform.Key]platform.Item
+	nonces map[string]bool
+	units  Units
+}
+
+// Units counts what the table would bill: one for an item read, one for an
+// item written alone, two for an item written in a transaction of several.
+type Units struct {
+	Reads  int
+	Writes int
+	Calls  int
+}
+
+// NewMemory returns an empty table.
+func NewMemory() *Memory {
+	return &Memory{items: make(map[platform.Key]platform.Item), nonces: make(map[string]bool)}
+}
+
+// Units returns what has been billed so far.
+func (m *Memory) Units() Units {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.units
+}
+
+// Get implements platform.Table.
+func (m *Memory) Get(ctx context.Context, k platform.Key) (platform.Item, error) {
+	if err := m.Faults.begin(ctx); err != nil {
+		return platform.Item{}, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.units.Calls++
+	m.units.Reads++
+	it, ok := m.items[k]
+	if !ok {
+		return platform.Item{}, platform.ErrNotFound
+	}
+	return it, nil
+}
+
+// Query implements platform.Table.
+func (m *Memory) Query(ctx context.Context, part, after string, limit int) ([]platform.Item, error) {
+	if err := m.Faults.begin(ctx); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []platform.Item
+	for k, it := range m.items {
+		if k.Part == part && k.Sort > after {
+			out = append(out, it)
+		}
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Key.Sort < out[j].Key.Sort })
+	if len(out) > limit {
+		out = out[:limit]
+	}
+	m.units.Calls++
+	m.units.Reads += max(1, len(out))
+	return out, nil
+}
+
+// Write implements platform.Table.
+func (m *Memory) Write(ctx context.Context, nonce string, writes ...platform.Write) error {
+	if err := m.Faults.begin(ctx); err != nil {
+		return err
+	}
+	if err := m.apply(nonce, writes); err != nil {
+		return err
+	}
+	if m.Faults.loses() {
+		return errFault
+	}
+	return nil
+}
+
+func (m *Memory) apply(nonce string, writes []platform.Write) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.units.Calls++
+	cost := 1
+	if len(writes) > 1 {
+		cost = 2
+	}
+	m.units.Writes += cost * len(writes)
+	if m.nonces[nonce] {
+		return nil
+	}
+	for _, w := range writes {
+		if m.items[w.Key].Rev != w.Rev {
+			return platform.ErrConflict
+		}
+	}
+	for _, w := range writes {
+		if w.Delete {
+			delete(m.items, w.Key)
+			continue
+		}
+		m.items[w.Key] = platform.Item{Key: w.Key, Rev: w.Rev + 1, Nonce: nonce, Value: w.Value}
+	}
+	m.nonces[nonce] = true
+	return nil
+}
+
+// MemoryObjects is a platform.Objects held in memory.
+type MemoryObjects struct {
+	Faults Faults
+
+	mu   sync.Mutex
+	objs map[string][]byte
+}
+
+// Get implements platform.Objects.
+func (m *MemoryObjects) Get(ctx context.Context, name string) ([]byte, error) {
+	if err := m.Faults.begin(ctx); err != nil {
+		return nil, err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	b, ok := m.objs[name]
+	if !ok {
+		return nil, platform.ErrNotFound
+	}
+	return b, nil
+}
+
+// Put implements platform.Objects.
+func (m *MemoryObjects) Put(ctx context.Context, name string, value []byte) error {
+	if err := m.Faults.begin(ctx); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, ok := m.objs[name]; ok {
+		return platform.ErrConflict
+	}
+	if m.objs == nil {
+		m.objs = make(map[string][]byte)
+	}
+	m.objs[name] = value
+	if m.Faults.loses() {
+		return errFault
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/standin/plain.go
@@ -0,0 +1,96 @@
+// SPDX-License-Identifier: MIT
+
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Plain is a plain service, such as the portal or the player.
+type Plain struct {
+	work   time.Duration
+	ledger *Ledger
+	server *http.Server
+	addr   string
+
+	mu      sync.Mutex
+	noticed time.Time
+	running int
+	fault   EngineFault
+}
+
+// NewPlain starts a plain service whose calls take the given time.
+func NewPlain(work time.Duration, ledger *Ledger) *Plain {
+	p := &Plain{work: work, ledger: ledger}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /load", p.serveLoad)
+	mux.HandleFunc("/", p.serve)
+	p.server, p.addr = listen(mux)
+	return p
+}
+
+// Address returns host:port.
+func (p *Plain) Address() string { return p.addr }
+
+// Notice marks the service as announced to leave.
+func (p *Plain) Notice(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.noticed = now
+}
+
+// Kill ends the service and cuts its connections.
+func (p *Plain) Kill() { p.server.Close() }
+
+// SetFault replaces the fault in force.
+func (p *Plain) SetFault(f EngineFault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = f
+}
+
+func (p *Plain) add(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.running += n
+}
+
+func (p *Plain) serve(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	noticed, f := p.noticed, p.fault
+	p.mu.Unlock()
+	if f.Refuse {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if !noticed.IsZero() {
+		p.ledger.leaving(time.Since(noticed))
+	}
+	began := time.Now()
+	id := r.Header.Get("X-Caller-Request")
+	p.ledger.begin(id, r.Method == http.MethodPost)
+	p.add(1)
+	defer p.add(-1)
+	select {
+	case <-time.After(p.work):
+	case <-r.Context().Done():
+		return
+	}
+	if f.CutAfter > 0 {
+		w.Header().Set("Content-Length", "1000")
+		fmt.Fprint(w, "half")
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("X-Worked", time.Since(began).String())
+	fmt.Fprintf(w, "%s %s for %s", r.Method, r.URL.Path, id)
+}
+
+func (p *Plain) serveLoad(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	json.NewEncoder(w).Encode(loadReport{Running: p.running, Batch: 64})
+}
--- /dev/null
+++ b/internal/standin/serve.go
@@ -0,0 +1,405 @@
+// SPDX-License-Identifier: MIT
+
+package standin
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// completionBody is what an engine reads of a completion or chat request.
+type completionBody struct {
+	Model          string
+	Prompt         json.RawMessage
+	Messages       []chatMessage
+	MaxTokens      int    `json:"max_tokens"`
+	User           string // the caller's own name for the request
+	Priority       int
+	PromptCacheKey string `json:"prompt_cache_key"`
+	Unrepeatable   bool   `json:"x_unrepeatable"` // set by the trial's callers, for the ledger alone
+}
+
+type chatMessage struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+type completionChunk struct {
+	ID             string             `json:"id"`
+	Object         string             `json:"object"`
+	Created        int64              `json:"created"`
+	Model          string             `json:"model"`
+	PromptTokenIDs []int              `json:"prompt_token_ids,omitempty"`
+	Choices        []completionChoice `json:"choices"`
+	Usage          *usage             `json:"usage,omitempty"`
+}
+
+type completionChoice struct {
+	Index          int          `json:"index"`
+	Text           string       `json:"text,omitempty"`
+	Delta          *chatMessage `json:"delta,omitempty"`
+	TokenIDs       []int        `json:"token_ids,omitempty"`
+	PromptTokenIDs []int        `json:"prompt_token_ids,omitempty"`
+	FinishReason   *string      `json:"finish_reason"`
+}
+
+type usage struct {
+	PromptTokens     int          `json:"prompt_tokens"`
+	CompletionTokens int          `json:"completion_tokens"`
+	Details          usageDetails `json:"prompt_tokens_details"`
+}
+
+type usageDetails struct {
+	CachedTokens int `json:"cached_tokens"`
+}
+
+// promptTokens reads a prompt given as text, as token ids or as messages.
+func (b *completionBody) promptTokens() []int {
+	if len(b.Messages) > 0 {
+		return Tokens(chatText(b.Messages))
+	}
+	var ids []int
+	if json.Unmarshal(b.Prompt, &ids) == nil {
+		return ids
+	}
+	var text string
+	json.Unmarshal(b.Prompt, &text)
+	return Tokens(text)
+}
+
+// ChatPrompt is the text that a chat of one message is rendered to.
+func ChatPrompt(role, content string) string {
+	return chatText([]chatMessage{{Role: role, Content: content}})
+}
+
+// chatText is the text that a chat's messages are rendered to.
+func chatText(ms []chatMessage) string {
+	var sb strings.Builder
+	for _, m := range ms {
+		sb.WriteString("<" + m.Role + "> " + m.Content + " ")
+	}
+	return sb.String()
+}
+
+func (e *Engine) serveCompletion(w http.ResponseWriter, r *http.Request) {
+	var body completionBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	e.mu.Lock()
+	f, noticed := e.fault, e.noticed
+	e.mu.Unlock()
+	if f.Refuse {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if !noticed.IsZero() {
+		e.ledger.leaving(time.Since(noticed))
+	}
+	e.ledger.begin(body.User, body.Unrepeatable)
+	if f.BlackHole {
+		e.pause(r.Context(), time.Hour)
+		return
+	}
+	if !e.enter(r.Context(), body.Priority) {
+		return
+	}
+	defer e.leave()
+	e.generate(r.Context(), w, r, &body, f)
+}
+
+// generate computes the prompt and streams the answer.
+func (e *Engine) generate(ctx context.Context, w http.ResponseWriter, r *http.Request, body *completionBody, f EngineFault) {
+	tokens := body.promptTokens()
+	state, cached, ok := e.compute(ctx, tokens, body.PromptCacheKey)
+	if !ok {
+		return
+	}
+	out := newChunkWriter(w, r, body)
+	if f.Garble {
+		state = fold(state, 1)
+		out.c.ID = "cmpl-of-another-request"
+	}
+	n, stop := body.MaxTokens, "length"
+	if f.Short {
+		n = n / 2
+	}
+	context := len(tokens)
+	for i := range n {
+		if f.CutAfter > 0 && i == f.CutAfter {
+			panic(http.ErrAbortHandler)
+		}
+		if f.StallAfter > 0 && i == f.StallAfter {
+			e.pause(ctx, time.Hour)
+			return
+		}
+		if !e.pause(ctx, e.step()) {
+			return
+		}
+		t := next(state)
+		state = fold(state, t)
+		context++
+		if context%BlockTokens == 0 {
+			e.ledger.block(state)
+			e.store(state, body.PromptCacheKey)
+		}
+		e.ledger.tokens(1, 0, 0)
+		var prompt []int
+		if i == 0 {
+			prompt = tokens
+		}
+		out.token(t, prompt)
+	}
+	out.finish(stop, usage{PromptTokens: len(tokens), CompletionTokens: n, Details: usageDetails{cached}})
+}
+
+// compute prefills what the cache does not hold and returns the state.
+func (e *Engine) compute(ctx context.Context, tokens []int, key string) (state uint64, cached int, ok bool) {
+	hit := true
+	var fresh, blocks []uint64
+	for i, t := range tokens {
+		state = fold(state, t)
+		if (i+1)%BlockTokens != 0 {
+			continue
+		}
+		e.mu.Lock()
+		hit = hit && e.cache.Contains(state)
+		e.mu.Unlock()
+		if hit {
+			cached += BlockTokens
+		} else {
+			fresh = append(fresh, state)
+		}
+		blocks = append(blocks, state)
+	}
+	e.prefill.Lock()
+	ok = e.pause(ctx, time.Duration(float64(len(tokens)-cached)/e.cfg.Prefill*float64(time.Second)))
+	e.prefill.Unlock()
+	if !ok {
+		return 0, 0, false
+	}
+	for _, h := range fresh {
+		e.ledger.block(h)
+	}
+	// The head of a prompt is worth more than its tail: it is used last.
+	for _, h := range slices.Backward(blocks) {
+		e.store(h, key)
+	}
+	e.ledger.tokens(0, len(tokens)-cached, cached)
+	return state, cached, true
+}
+
+// store keeps a block in the prefix cache.
+func (e *Engine) store(h uint64, key string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cache.Add(h, key)
+}
+
+// publish appends the event that a block of a cache key was removed; every
+// seventh is lost. The caller holds the lock.
+func (e *Engine) publish(key string) {
+	n := int64(1)
+	if len(e.events) > 0 {
+		n = e.events[len(e.events)-1].Seq + 1
+	}
+	if n%7 == 0 {
+		n++
+	}
+	e.events = append(e.events, cacheEvent{Seq: n, Removed: key})
+	if len(e.events) > 256 {
+		e.events = e.events[128:]
+	}
+}
+
+// chunkWriter writes the answer as server-sent events.
+type chunkWriter struct {
+	w    http.ResponseWriter
+	fl   http.Flusher
+	chat bool
+	c    completionChunk
+}
+
+func newChunkWriter(w http.ResponseWriter, r *http.Request, body *completionBody) *chunkWriter {
+	w.Header().Set("Content-Type", "text/event-stream")
+	o := &chunkWriter{w: w, chat: len(body.Messages) > 0}
+	o.fl, _ = w.(http.Flusher)
+	o.c = completionChunk{
+		ID: "cmpl-" + r.Header.Get("X-Request-Id"), Object: "text_completion",
+		Created: time.Now().Unix(), Model: body.Model,
+	}
+	if o.chat {
+		o.c.Object = "chat.completion.chunk"
+	}
+	return o
+}
+
+func (o *chunkWriter) token(t int, prompt []int) {
+	text := "w" + strconv.Itoa(t) + " "
+	ch := completionChoice{Text: text, TokenIDs: []int{t}, PromptTokenIDs: prompt}
+	o.c.PromptTokenIDs = nil
+	if o.chat {
+		ch.Text, ch.PromptTokenIDs = "", nil
+		ch.Delta = &chatMessage{Content: text}
+		o.c.PromptTokenIDs = prompt
+	}
+	o.c.Choices = []completionChoice{ch}
+	o.send()
+}
+
+func (o *chunkWriter) finish(reason string, u usage) {
+	ch := completionChoice{FinishReason: &reason}
+	if o.chat {
+		ch.Delta = &chatMessage{}
+	}
+	o.c.Choices = []completionChoice{ch}
+	o.c.Usage = &u
+	o.send()
+	fmt.Fprint(o.w, "data: [DONE]\n\n")
+	o.fl.Flush()
+}
+
+func (o *chunkWriter) send() {
+	b, _ := json.Marshal(o.c)
+	fmt.Fprintf(o.w, "data: %s\n\n", b)
+	o.fl.Flush()
+}
+
+// cacheEvent tells that a block of a cache key was removed.
+type cacheEvent struct {
+	Seq     int64  `json:"seq"`
+	Removed string `json:"removed"`
+}
+
+type loadReport struct {
+	At      time.Time    `json:"-"`
+	Running int          `json:"running"`
+	Waiting int          `json:"waiting"`
+	Batch   int          `json:"batch"`
+	Leaving bool         `json:"leaving"`
+	Events  []cacheEvent `json:"events,omitempty"`
+}
+
+// report keeps the load as of now; the caller holds the lock.
+func (e *Engine) report() {
+	e.reports = append(e.reports, loadReport{
+		At: time.Now(), Running: e.running, Waiting: len(e.waiting), Batch: e.cfg.Batch,
+	})
+	if len(e.reports) > 4096 {
+		e.reports = e.reports[2048:]
+	}
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
+	since, _ := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
+	e.mu.Lock()
+	if e.fault.BlackHole {
+		e.mu.Unlock()
+		e.pause(r.Context(), time.Hour)
+		return
+	}
+	rep := loadReport{Batch: e.cfg.Batch}
+	for i := len(e.reports) - 1; i >= 0; i-- {
+		if time.Since(e.reports[i].At) >= e.cfg.Lag {
+			rep = e.reports[i]
+			break
+		}
+	}
+	for _, ev := range e.events {
+		if ev.Seq > since {
+			rep.Events = append(rep.Events, ev)
+		}
+	}
+	e.mu.Unlock()
+	json.NewEncoder(w).Encode(rep)
+}
+
+// kvBlocks is the KV cache of a context as block hashes.
+type kvBlocks struct {
+	Blocks []uint64 `json:"blocks"`
+}
+
+type importOrder struct {
+	From   string `json:"from"`
+	Key    string `json:"key"`
+	Tokens []int  `json:"tokens"`
+}
+
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	var o importOrder
+	json.NewDecoder(r.Body).Decode(&o)
+	var kv kvBlocks
+	var state uint64
+	e.mu.Lock()
+	for i, t := range o.Tokens {
+		state = fold(state, t)
+		if (i+1)%BlockTokens == 0 {
+			if !e.cache.Contains(state) {
+				break
+			}
+			kv.Blocks = append(kv.Blocks, state)
+		}
+	}
+	e.mu.Unlock()
+	json.NewEncoder(w).Encode(kv)
+}
+
+// serveImport pulls the KV cache of a context from another engine.
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	var o importOrder
+	json.NewDecoder(r.Body).Decode(&o)
+	b, _ := json.Marshal(o)
+	req, err := http.NewRequestWithContext(r.Context(), http.MethodGet, "http://"+o.From+"/kv/export", bytes.NewReader(b))
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		w.WriteHeader(http.StatusBadGateway)
+		return
+	}
+	defer resp.Body.Close()
+	var kv kvBlocks
+	body, _ := io.ReadAll(resp.Body)
+	json.Unmarshal(body, &kv)
+	moved := len(kv.Blocks) * BlockTokens
+	if !e.pause(r.Context(), time.Duration(float64(moved)/e.cfg.Transfer*float64(time.Second))) {
+		return
+	}
+	for _, h := range kv.Blocks {
+		e.store(h, o.Key)
+	}
+	fmt.Fprintf(w, `{"tokens":%d}`, moved)
+}
+
+// order is a fenced order to load a model or to change role.
+type order struct {
+	Epoch int64  `json:"epoch"`
+	Model string `json:"model"`
+	Role  string `json:"role"`
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var o order
+	json.NewDecoder(r.Body).Decode(&o)
+	e.mu.Lock()
+	stale := o.Epoch < e.epoch
+	if !stale {
+		e.epoch = o.Epoch
+	}
+	e.mu.Unlock()
+	e.ledger.order(stale)
+	if stale && e.cfg.ChecksFence {
+		w.WriteHeader(http.StatusConflict)
+	}
+}
--- /dev/null
+++ b/internal/trial/faults.go
@@ -0,0 +1,181 @@
+// SPDX-License-Identifier: MIT
+
+package trial
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"streambend.example/internal/standin"
+	"streambend.example/platform"
+)
+
+// fault is something that goes wrong during a trial.
+type fault struct {
+	name       string
+	at         float64 // share of the span at which it begins
+	mayUnknown bool    // an unrepeatable request may end with an unknown outcome
+	mayRefuse  bool    // requests may be refused as not run
+	run        func(ctx context.Context, t *trial)
+}
+
+// faults lists them in the order of the documentation.
+func faults() []fault {
+	return []fault{
+		{name: "zone-reclaim"}, // part of every trial
+		{name: "two-waves", at: 0.28, run: twoWaves},
+		{name: "store-down", at: 0.15, mayRefuse: true, run: storeDown},
+		{name: "store-slow", at: 0.15, mayRefuse: true, run: storeSlow},
+		{name: "lost-answers", at: 0.05, mayRefuse: true, run: lostAnswers},
+		{name: "daemon-kill", at: 0.25, mayUnknown: true, run: daemonKill},
+		{name: "paused-holder", at: 0.1, run: pausedHolder},
+		{name: "racing-intents", at: 0.4, run: racingIntents},
+		{name: "refused-starts", at: 0.1, run: refusedStarts},
+		{name: "late-events", at: 0.1, run: lateEvents},
+		{name: "bad-endpoint", at: 0.1, mayUnknown: true, run: badEndpoint},
+	}
+}
+
+// Faults lists the names of the faults.
+func Faults() []string {
+	var out []string
+	for _, f := range faults() {
+		out = append(out, f.name)
+	}
+	return out
+}
+
+func findFault(name string) (fault, bool) {
+	if name == "" {
+		return fault{}, true
+	}
+	for _, f := range faults() {
+		if f.name == name {
+			return f, true
+		}
+	}
+	return fault{}, false
+}
+
+// keep keeps a state up for a share of the span.
+func (t *trial) keep(ctx context.Context, share float64) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Duration(share * float64(t.opts.Span))):
+	}
+}
+
+// twoWaves reclaims a second zone while the first leaves.
+func twoWaves(_ context.Context, t *trial) { t.reclaim("bangna", "pasig-c") }
+
+func storeDown(ctx context.Context, t *trial) {
+	t.say("       the table and the object store are down")
+	t.store.Table.Faults.Set(standin.Fault{Down: true})
+	t.store.Objects.Faults.Set(standin.Fault{Down: true})
+	t.keep(ctx, 0.3)
+	t.store.Table.Faults.Set(standin.Fault{})
+	t.store.Objects.Faults.Set(standin.Fault{})
+	t.say("       the store is back")
+}
+
+func storeSlow(ctx context.Context, t *trial) {
+	t.say("       the table takes 600 ms a call")
+	t.store.Table.Faults.Set(standin.Fault{Delay: 600 * time.Millisecond})
+	t.keep(ctx, 0.4)
+	t.store.Table.Faults.Set(standin.Fault{})
+}
+
+func lostAnswers(ctx context.Context, t *trial) {
+	t.say("       every third write takes effect and its answer is lost")
+	t.store.Table.Faults.Set(standin.Fault{LoseEvery: 3})
+	t.keep(ctx, 0.8)
+	t.store.Table.Faults.Set(standin.Fault{})
+}
+
+// daemonKill ends a daemon without notice in the middle of the reclaim.
+func daemonKill(_ context.Context, t *trial) {
+	d := t.live()[1]
+	t.say("       %s dies", d.Self.Name)
+	t.markGone(d)
+	d.Kill()
+}
+
+// pausedHolder makes a lease holder blind for three terms.
+func pausedHolder(ctx context.Context, t *trial) {
+	for _, d := range t.live()[:2] {
+		d.FreezeLeases(time.Now(), true)
+		t.say("       %s is paused and does not know that its leases lapse", d.Self.Name)
+	}
+	t.keep(ctx, 0.7)
+	for _, d := range t.live()[:2] {
+		d.FreezeLeases(time.Now(), false)
+	}
+}
+
+// racingIntents has operators of both partners change at once, at different
+// daemons.
+func racingIntents(ctx context.Context, t *trial) {
+	ds := t.live()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	won, lost := 0, 0
+	for i := range 12 {
+		s := services()[2*(i%2)]
+		s.MaxBoxes += i
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, err := t.operator(s.Partner, ds[i%len(ds)]).change(ctx, s)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				won++
+			} else {
+				lost++
+			}
+		}()
+	}
+	wg.Wait()
+	t.say("       12 operators at once: %d changes accepted, %d conflicts", won, lost)
+}
+
+func refusedStarts(ctx context.Context, t *trial) {
+	for _, z := range []string{"bangna", "chatuchak", "makati-b"} {
+		t.cloud.Refuse(z, gpuClass, true, true)
+	}
+	t.say("       starts are refused in three zones")
+	t.keep(ctx, 0.8)
+	t.say("       %d starts were refused", t.cloud.Refused())
+}
+
+// lateEvents makes the box list and the load reports much later.
+func lateEvents(ctx context.Context, t *trial) {
+	t.say("       the box list is 2.5 s late")
+	t.cloud.SetLag(2500 * time.Millisecond)
+	t.keep(ctx, 0.7)
+	t.cloud.SetLag(500 * time.Millisecond)
+}
+
+// badEndpoint makes four runners cut, stall, garble and shorten answers, and
+// one take requests without ever answering.
+func badEndpoint(ctx context.Context, t *trial) {
+	kinds := []standin.EngineFault{{CutAfter: 5}, {StallAfter: 4}, {Garble: true}, {Short: true}, {BlackHole: true}}
+	var bad []faulty
+	for _, b := range t.cloud.Boxes() {
+		if len(bad) == len(kinds) || b.Class != gpuClass || b.State != platform.BoxLive || b.Zone == "silom" || b.Zone == "makati-a" {
+			continue
+		}
+		t.world.mu.Lock()
+		e := t.bad[b.ID]
+		t.world.mu.Unlock()
+		e.SetFault(kinds[len(bad)])
+		bad = append(bad, e)
+		t.say("       %s", fmt.Sprintf("%s of %s/%s is bad: %+v", b.ID, b.Partner, b.Service, kinds[len(bad)-1]))
+	}
+	t.keep(ctx, 0.5)
+	for _, e := range bad {
+		e.SetFault(standin.EngineFault{})
+	}
+}
--- /dev/null
+++ b/internal/trial/load.go
@@ -0,0 +1,125 @@
+// SPDX-License-Identifier: MIT
+
+package trial
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"streambend.example/process"
+)
+
+// balancer stands for the platform's: it knows the daemons that were ready at
+// its last look.
+type balancer struct {
+	w *world
+
+	mu     sync.Mutex
+	rng    *rand.Rand
+	ready  []*process.Daemon
+	closed map[*process.Daemon]bool
+}
+
+// balancePeriod is between two looks at a daemon's readiness.
+const balancePeriod = 100 * time.Millisecond
+
+func newBalancer(ctx context.Context, w *world) *balancer {
+	b := &balancer{w: w, rng: rand.New(rand.NewPCG(w.opts.Seed, 2)), closed: make(map[*process.Daemon]bool)}
+	b.look()
+	go func() {
+		for ctx.Err() == nil {
+			time.Sleep(balancePeriod)
+			b.look()
+		}
+	}()
+	return b
+}
+
+func (b *balancer) look() {
+	var ready []*process.Daemon
+	for _, d := range b.w.live() {
+		if b.w.isReady(d) {
+			ready = append(ready, d)
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ready = ready
+}
+
+func (b *balancer) pick() *process.Daemon {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.ready) == 0 {
+		return nil
+	}
+	return b.ready[b.rng.IntN(len(b.ready))]
+}
+
+// plan notes that a daemon is being stopped as planned.
+func (b *balancer) plan(d *process.Daemon) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed[d] = true
+}
+
+// stopping reports whether a daemon is being stopped as planned.
+func (b *balancer) stopping(d *process.Daemon) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.closed[d]
+}
+
+// load sends each job's requests at its rate until the time is over, and then
+// waits for the answers.
+type load struct {
+	mu      sync.Mutex
+	results []*result
+	started int
+	wg      sync.WaitGroup
+}
+
+func (w *world) load(ctx context.Context, b *balancer, span time.Duration) *load {
+	l := &load{}
+	end := time.Now().Add(span)
+	for i, j := range jobs() {
+		j.perSecond *= w.opts.Rate
+		rng := rand.New(rand.NewPCG(w.opts.Seed, uint64(100+i)))
+		l.wg.Add(1)
+		go func() {
+			defer l.wg.Done()
+			for n := 0; ; n++ {
+				gap := time.Duration(rng.ExpFloat64() / j.perSecond * float64(time.Second))
+				if time.Now().Add(gap).After(end) || ctx.Err() != nil {
+					return
+				}
+				time.Sleep(gap)
+				l.send(ctx, w, b, newRequest(j, n, rng))
+			}
+		}()
+	}
+	return l
+}
+
+func (l *load) send(ctx context.Context, w *world, b *balancer, r *callerRequest) {
+	l.mu.Lock()
+	l.started++
+	l.mu.Unlock()
+	l.wg.Add(1)
+	go func() {
+		defer l.wg.Done()
+		res := w.do(ctx, r, b)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.results = append(l.results, res)
+	}()
+}
+
+// progress returns how many requests were sent and have ended.
+func (l *load) progress() (started, ended int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.started, len(l.results)
+}
--- /dev/null
+++ b/internal/trial/run.go
@@ -0,0 +1,298 @@
+// SPDX-License-Identifier: MIT
+
+package trial
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"streambend.example/platform"
+	"streambend.example/process"
+	"streambend.example/request"
+	"streambend.example/version"
+)
+
+// Options say what a trial does. DefaultOptions gives the ordinary ones.
+type Options struct {
+	Seed     uint64
+	Policy   string // ours, or a baseline: random, least-loaded, restart, resume, export, on-demand, greedy, spread
+	Fault    string // one of Faults, or ""
+	Daemons  int
+	Span     time.Duration // how long requests are sent
+	Rate     float64       // multiple of the ordinary load
+	LogLevel string
+	Progress io.Writer // for a person; nil for none
+	Hold     bool      // keep running afterwards until ctx ends
+}
+
+// DefaultOptions returns the options of "streambend try".
+func DefaultOptions() Options {
+	return Options{Seed: 1, Policy: "ours", Daemons: 4, Span: 14 * time.Second, Rate: 1, LogLevel: "error"}
+}
+
+// Policies lists the names that Options.Policy takes.
+func Policies() []string {
+	return []string{"ours", "random", "least-loaded", "restart", "resume", "export", "on-demand", "greedy", "spread"}
+}
+
+// policies returns the routing, moving and placement policies.
+func (o Options) policies() (route, move, place string) {
+	route, move, place = string(request.RouteOurs), string(request.MoveOurs), string(version.Ours)
+	switch o.Policy {
+	case "random", "least-loaded":
+		route = o.Policy
+	case "restart", "resume", "export":
+		move = o.Policy
+	case "on-demand", "greedy", "spread":
+		place = o.Policy
+	}
+	return route, move, place
+}
+
+// The times of an ordinary trial's events, as shares of its span.
+const (
+	reclaimAt  = 0.2
+	changeAt   = 0.45
+	stopAt     = 0.55
+	noticeTime = 3 * time.Second
+)
+
+// trial is one run.
+type trial struct {
+	*world
+	balancer *balancer
+	report   *Report
+
+	mu      sync.Mutex
+	inForce time.Duration
+}
+
+// Run runs a trial. The error tells that it could not be run; whether the
+// promises held is in the report.
+func Run(ctx context.Context, o Options, logs io.Writer) (*Report, error) {
+	f, ok := findFault(o.Fault)
+	if !ok {
+		return nil, errors.Errorf("trial: no fault %q; there are %v", o.Fault, Faults())
+	}
+	w, err := newWorld(o, logs)
+	if err != nil {
+		return nil, err
+	}
+	defer w.close()
+	t := &trial{world: w, report: &Report{Seed: o.Seed, Fault: o.Fault, mayUnknown: f.mayUnknown, mayRefuse: f.mayRefuse}}
+	t.say("starting %d daemons and the boxes", o.Daemons)
+	if err := w.setUp(ctx); err != nil {
+		return nil, err
+	}
+	run, cancel := context.WithCancel(ctx)
+	defer cancel()
+	t.balancer = newBalancer(run, w)
+	reverts := t.watchVersions(run)
+	l := w.load(run, t.balancer, o.Span)
+	var events sync.WaitGroup
+	t.schedule(run, &events, f)
+	done := make(chan struct{})
+	go func() {
+		l.wg.Wait()
+		close(done)
+	}()
+	if err := t.follow(ctx, l, done); err != nil {
+		return nil, err
+	}
+	events.Wait()
+	t.finish(l, reverts)
+	if o.Hold {
+		t.hold(ctx)
+	}
+	return t.report, nil
+}
+
+func (t *trial) say(format string, args ...any) {
+	if t.opts.Progress != nil {
+		fmt.Fprintf(t.opts.Progress, format+"\n", args...)
+	}
+}
+
+// lastAnswers bounds how long the last answers may take.
+const lastAnswers = 90 * time.Second
+
+// follow prints progress until all requests have ended.
+func (t *trial) follow(ctx context.Context, l *load, done <-chan struct{}) error {
+	began := time.Now()
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-done:
+			return nil
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-tick.C:
+			sent, ended := l.progress()
+			k := t.ledger.Tally()
+			t.say("%3.0f s  sent %d, ended %d, tokens %d, boxes leaving %d", time.Since(began).Seconds(), sent, ended, k.Generated, len(t.leaving()))
+			if time.Since(began) > t.opts.Span+lastAnswers {
+				return errors.Errorf("trial: %d requests did not end", sent-ended)
+			}
+		}
+	}
+}
+
+func (w *world) leaving() []platform.Box {
+	var out []platform.Box
+	for _, b := range w.cloud.Boxes() {
+		if b.State == platform.BoxLeaving {
+			out = append(out, b)
+		}
+	}
+	return out
+}
+
+// at runs an event at a share of the span.
+func (t *trial) at(ctx context.Context, wg *sync.WaitGroup, share float64, f func(context.Context)) {
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(share * float64(t.opts.Span))):
+			f(ctx)
+		}
+	}()
+}
+
+// schedule sets the events: always a zone's reclaim, a planned stop and a
+// change of the configuration; with a fault, that too.
+func (t *trial) schedule(ctx context.Context, wg *sync.WaitGroup, f fault) {
+	t.at(ctx, wg, reclaimAt, func(context.Context) { t.reclaim("silom", "makati-a") })
+	t.at(ctx, wg, changeAt, func(ctx context.Context) { t.change(ctx, 1) })
+	t.at(ctx, wg, stopAt, func(ctx context.Context) { t.plannedStop(ctx) })
+	if f.run != nil {
+		t.at(ctx, wg, f.at, func(ctx context.Context) { f.run(ctx, t) })
+	}
+}
+
+// reclaim gives notice to all reclaimable boxes of the zones.
+func (t *trial) reclaim(zones ...string) {
+	for _, z := range zones {
+		n := t.cloud.Reclaim(time.Now(), noticeTime, func(b platform.Box) bool { return b.Zone == z })
+		t.mu.Lock()
+		t.report.BoxesReclaimed += n
+		t.mu.Unlock()
+		t.say("       zone %s is reclaimed in %s: %d boxes", z, noticeTime, n)
+	}
+}
+
+// change confirms a changed intent and measures until it is in force at all
+// daemons.
+func (t *trial) change(ctx context.Context, more int) {
+	s := services()[0]
+	s.MinBoxes += more
+	s.HourlyBound += float64(more)
+	ds := t.live()
+	began := time.Now()
+	c, err := t.operator(office, ds[0]).change(ctx, s)
+	for tries := 0; err != nil && tries < 100 && ctx.Err() == nil; tries++ {
+		time.Sleep(100 * time.Millisecond)
+		began = time.Now()
+		c, err = t.operator(office, ds[0]).change(ctx, s)
+	}
+	if err != nil {
+		t.say("       change of the configuration failed: %v", err)
+		return
+	}
+	for _, d := range ds {
+		until(ctx, 10*time.Second, "change in force", func() bool {
+			row, err := t.operator(office, d).row(ctx, s.Name)
+			return err == nil && row.Rev >= c.Accepted || t.isGone(d)
+		})
+	}
+	took := time.Since(began)
+	t.mu.Lock()
+	t.inForce = max(t.inForce, took)
+	t.mu.Unlock()
+	t.say("       version %d in force at %d daemons %.0f ms after it was asked for", c.Accepted, len(ds), took.Seconds()*1000)
+}
+
+func (w *world) isGone(d *process.Daemon) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.gone[d]
+}
+
+// plannedStop stops the last daemon as planned.
+func (t *trial) plannedStop(ctx context.Context) {
+	ds := t.live()
+	d := ds[len(ds)-1]
+	t.balancer.plan(d)
+	t.say("       planned stop of %s", d.Self.Name)
+	d.Stop(ctx)
+	t.markGone(d)
+	t.say("       %s has stopped", d.Self.Name)
+}
+
+// watchVersions counts how often a daemon's version goes back.
+func (t *trial) watchVersions(ctx context.Context) func() int {
+	var mu sync.Mutex
+	reverts := 0
+	seen := make(map[*process.Daemon]int64)
+	go func() {
+		for ctx.Err() == nil {
+			for _, d := range t.live() {
+				row, err := t.operator(office, d).row(ctx, "llm")
+				if err != nil {
+					continue
+				}
+				mu.Lock()
+				if row.Rev < seen[d] {
+					reverts++
+				}
+				seen[d] = row.Rev
+				mu.Unlock()
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	return func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return reverts
+	}
+}
+
+// finish fills the report in.
+func (t *trial) finish(l *load, reverts func() int) {
+	r, k := t.report, t.ledger.Tally()
+	r.count(l.results)
+	r.RanTwice = k.RanTwice
+	r.LeavingNewWorkMax = k.LeavingMax.Seconds()
+	r.ConfigInForceMax = t.inForce.Seconds()
+	r.ConfigReverts = reverts()
+	r.StaleOrders = k.StaleOrders
+	r.TokensGenerated, r.TokensRecomputed = k.Generated, k.Recomputed
+	r.TokensCached, r.TokensPrefilled = k.Cached, k.Prefilled
+	r.Cost, r.CostAllOnDemand = t.cloud.Cost(time.Now())
+	for _, d := range t.daemons {
+		r.Moves += d.Server.Count.Moves.Load()
+		r.Exports += d.Server.Count.Exports.Load()
+	}
+}
+
+// hold keeps everything running and says how to reach it.
+func (t *trial) hold(ctx context.Context) {
+	for _, d := range t.live() {
+		a := d.Addresses()
+		t.say("%s: callers http://%s, operators http://%s", d.Self.Name, a.Callers, a.Operators)
+	}
+	a := t.live()[0].Addresses()
+	t.say("\ncurl -N http://%s/v1/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"quote-explainer\",\"prompt\":\"why did it move\",\"max_tokens\":20,\"stream\":true}'", a.Callers, token("caller", office, "mobile-app"))
+	t.say("curl http://%s/portal/item/7 -H 'Authorization: Bearer %s'", a.Callers, token("caller", office, "brokers"))
+	t.say("curl http://%s/v1/status -H 'Authorization: Bearer %s'", a.Operators, token("operator", office, "ops"))
+	t.say("\nstop with Ctrl-C")
+	<-ctx.Done()
+}
--- /dev/null
+++ b/internal/trial/world.go
@@ -0,0 +1,254 @@
+// SPDX-License-Identifier: MIT
+
+package trial
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"streambend.example/internal/standin"
+	"streambend.example/platform"
+	"streambend.example/process"
+	"streambend.example/version"
+)
+
+// world is the daemons and what surrounds them.
+type world struct {
+	opts   Options
+	rng    *rand.Rand
+	store  *standin.Store
+	cloud  *standin.Cloud
+	ledger *standin.Ledger
+	log    *logrus.Logger
+	http   *http.Client
+	stops  []func()
+
+	mu      sync.Mutex
+	daemons []*process.Daemon
+	gone    map[*process.Daemon]bool
+	bad     map[string]faulty // box to its stand-in
+}
+
+// faulty is a stand-in whose faults can be switched.
+type faulty interface{ SetFault(standin.EngineFault) }
+
+func token(kind, partner, name string) string { return kind + "-" + partner + "-" + name }
+
+func hash(token string) string {
+	h := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(h[:])
+}
+
+// serveLocal serves h on a loopback port and returns its URL.
+func (w *world) serveLocal(h http.Handler) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "trial: listen")
+	}
+	s := &http.Server{Handler: h}
+	go s.Serve(l)
+	w.stops = append(w.stops, func() { s.Close() })
+	return "http://" + l.Addr().String(), nil
+}
+
+// newWorld starts the stand-ins and the daemons.
+func newWorld(o Options, logs io.Writer) (*world, error) {
+	w := &world{
+		opts: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), store: standin.NewStore(), ledger: standin.NewLedger(),
+		log: logrus.New(), http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 512}},
+		gone: make(map[*process.Daemon]bool), bad: make(map[string]faulty),
+	}
+	w.log.SetOutput(logs)
+	level, err := logrus.ParseLevel(o.LogLevel)
+	if err != nil {
+		return nil, errors.Wrap(err, "trial: log level")
+	}
+	w.log.SetLevel(level)
+	w.cloud = standin.NewCloud(prices(w.rng))
+	w.cloud.Boot, w.cloud.Lag = 300*time.Millisecond, 500*time.Millisecond
+	w.cloud.Launch = w.launch
+	storeURL, err := w.serveLocal(w.store)
+	if err != nil {
+		return nil, err
+	}
+	cloudURL, err := w.serveLocal(w.cloud)
+	if err != nil {
+		return nil, err
+	}
+	zones := append(append([]string{}, bangkok...), manila...)
+	for i := range o.Daemons {
+		s := w.settings(i, zones[(i*3)%len(zones)], storeURL, cloudURL)
+		d, err := process.New(s, process.Adapters(s), w.log)
+		if err != nil {
+			w.close()
+			return nil, err
+		}
+		w.daemons = append(w.daemons, d)
+	}
+	return w, nil
+}
+
+func (w *world) settings(i int, zone, storeURL, cloudURL string) process.Settings {
+	s := process.DefaultSettings()
+	s.Name, s.Zone = fmt.Sprintf("entry-%d", i+1), zone
+	s.Listen = process.Listen{Callers: "127.0.0.1:0", Operators: "127.0.0.1:0", Peers: "127.0.0.1:0"}
+	s.Platform.Endpoint, s.Platform.Cloud = storeURL, cloudURL
+	s.Platform.KeyID, s.Platform.Secret = "trial", "trial"
+	s.Platform.TableRate, s.Platform.LoadRate = 200, 20
+	s.Peers.Secret = "the secret of the trial"
+	s.Pool = poolBoxes
+	s.Timing.Unready = span(500 * time.Millisecond)
+	s.Timing.Drain = span(20 * time.Second)
+	s.Timing.Hold = span(30 * time.Second)
+	s.Timing.FirstWait, s.Timing.Stall = span(2*time.Second), span(time.Second)
+	s.Timing.List, s.Timing.Poll = span(500*time.Millisecond), span(time.Second)
+	s.Timing.Lease = span(3 * time.Second)
+	s.Route, s.Move, s.Place = w.opts.policies()
+	seen := make(map[string]bool)
+	for _, j := range jobs() {
+		if t := token("caller", j.partner, j.team); !seen[t] {
+			seen[t] = true
+			s.Callers = append(s.Callers, process.Caller{TokenSHA256: hash(t), Partner: j.partner, Team: j.team, Weight: 1})
+		}
+	}
+	for _, p := range []string{office, podwave} {
+		s.Operators = append(s.Operators, process.Operator{TokenSHA256: hash(token("operator", p, "ops")), Partner: p, Name: p + "-ops", Role: "operator"})
+	}
+	return s
+}
+
+// launch starts the endpoint of a box.
+func (w *world) launch(b platform.Box) standin.Machine {
+	var svc version.Service
+	for _, s := range services() {
+		if s.Partner == b.Partner && s.Name == b.Service {
+			svc = s
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if svc.Kind == version.Model {
+		e := standin.NewEngine(b.ID, engine(svc), w.ledger)
+		w.bad[b.ID] = e
+		w.stops = append(w.stops, e.Kill)
+		return e
+	}
+	p := standin.NewPlain(4*time.Millisecond, w.ledger)
+	w.bad[b.ID] = p
+	w.stops = append(w.stops, p.Kill)
+	return p
+}
+
+// live returns the daemons that have not been ended.
+func (w *world) live() []*process.Daemon {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var out []*process.Daemon
+	for _, d := range w.daemons {
+		if !w.gone[d] {
+			out = append(out, d)
+		}
+	}
+	return out
+}
+
+func (w *world) markGone(d *process.Daemon) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.gone[d] = true
+}
+
+func (w *world) close() {
+	for _, d := range w.live() {
+		w.markGone(d)
+		d.Kill()
+	}
+	w.mu.Lock()
+	stops := w.stops
+	w.mu.Unlock()
+	for _, f := range stops {
+		f()
+	}
+}
+
+// until waits for a condition.
+func until(ctx context.Context, most time.Duration, what string, cond func() bool) error {
+	ctx, cancel := context.WithTimeout(ctx, most)
+	defer cancel()
+	for !cond() {
+		select {
+		case <-ctx.Done():
+			return errors.Errorf("trial: %s did not happen within %s", what, most)
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return nil
+}
+
+// isReady asks a daemon as the balancer does.
+func (w *world) isReady(d *process.Daemon) bool {
+	resp, err := w.http.Get("http://" + d.Addresses().Callers + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// setUp submits and confirms the intents and waits for the boxes.
+func (w *world) setUp(ctx context.Context) error {
+	err := until(ctx, 10*time.Second, "readiness of all daemons", func() bool {
+		for _, d := range w.daemons {
+			if !w.isReady(d) {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil {
+		return err
+	}
+	want := 0
+	for i, s := range services() {
+		ops := w.operator(s.Partner, w.daemons[i%len(w.daemons)])
+		if _, err := ops.change(ctx, s); err != nil {
+			return err
+		}
+		want += s.MinBoxes
+	}
+	err = until(ctx, 15*time.Second, "start of the boxes", func() bool {
+		n := 0
+		for _, b := range w.cloud.Boxes() {
+			if b.State == platform.BoxLive {
+				n++
+			}
+		}
+		return n >= want
+	})
+	if err != nil {
+		return err
+	}
+	return until(ctx, 10*time.Second, "spread of the box list", func() bool {
+		for _, d := range w.daemons {
+			n := 0
+			for _, k := range d.Server.Works.All() {
+				n += len(k.Pool.Targets())
+			}
+			if n < want {
+				return false
+			}
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/process/answer.go
@@ -0,0 +1,194 @@
+// SPDX-License-Identifier: MIT
+
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"streambend.example/code"
+	"streambend.example/conn"
+	"streambend.example/request"
+)
+
+// modelAnswer is a completion, a chat completion, or a chunk of one.
+type modelAnswer struct {
+	ID      string        `json:"id"`
+	Object  string        `json:"object"`
+	Created int64         `json:"created"`
+	Model   string        `json:"model"`
+	Choices []modelChoice `json:"choices"`
+	Usage   *conn.Usage   `json:"usage,omitempty"`
+}
+
+type modelChoice struct {
+	Index        int          `json:"index"`
+	Text         *string      `json:"text,omitempty"`
+	Delta        *chatContent `json:"delta,omitempty"`
+	Message      *chatContent `json:"message,omitempty"`
+	FinishReason *string      `json:"finish_reason"`
+}
+
+type chatContent struct {
+	Role    string `json:"role,omitempty"`
+	Content string `json:"content"`
+}
+
+// modelWriter writes a model's answer in the shape that the caller asked for.
+type modelWriter struct {
+	w    http.ResponseWriter
+	r    *request.Request
+	head modelAnswer
+	chat bool
+	buf  []byte
+}
+
+func newModelWriter(w http.ResponseWriter, r *request.Request, model string) *modelWriter {
+	o := &modelWriter{w: w, r: r, chat: r.Path == request.ChatPath}
+	o.head = modelAnswer{ID: "cmpl-" + r.ID, Object: "text_completion", Created: r.Arrived.Unix(), Model: model}
+	if o.chat {
+		o.head.ID = "chatcmpl-" + r.ID
+	}
+	return o
+}
+
+// whole writes the answer in one piece, once it has ended.
+func (o *modelWriter) whole(ctx context.Context, a *request.Answer) {
+	if err := wait(ctx, a); err != nil {
+		writeError(o.w, err)
+		return
+	}
+	snap, u, reason := a.Snapshot(), a.Usage(), a.Finish()
+	ans, text := o.head, string(snap.Text)
+	ch := modelChoice{FinishReason: &reason}
+	if o.chat {
+		ans.Object = "chat.completion"
+		ch.Message = &chatContent{Role: "assistant", Content: text}
+	} else {
+		ch.Text = &text
+	}
+	ans.Choices, ans.Usage = []modelChoice{ch}, &u
+	o.w.Header().Set(headRan, code.RanWhole.String())
+	writeJSON(o.w, http.StatusOK, ans)
+}
+
+// stream writes the answer event by event as it grows, from the event after
+// the last that the caller has seen. Nothing is written before the first
+// token, so that a refusal still has its status.
+func (o *modelWriter) stream(ctx context.Context, a *request.Answer) {
+	changed, stop := a.Follow()
+	defer stop()
+	if o.chat {
+		o.head.Object = "chat.completion.chunk"
+	}
+	after, begun := o.r.After, false
+	var events []request.Event
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-changed:
+		}
+		var done bool
+		var err *code.Error
+		events, done, err = a.Events(after, events[:0])
+		if len(events) > 0 || done && err == nil {
+			if !begun {
+				begun = true
+				o.begin()
+			}
+			for _, e := range events {
+				o.event(e)
+				after = e.Number
+			}
+		}
+		if done {
+			o.end(a, begun, after, err)
+			return
+		}
+		if begun {
+			o.flush()
+		}
+	}
+}
+
+func (o *modelWriter) begin() {
+	h := o.w.Header()
+	h.Set("Content-Type", "text/event-stream")
+	h.Set("Cache-Control", "no-cache")
+	o.w.WriteHeader(http.StatusOK)
+}
+
+// event appends one event to the buffer.
+func (o *modelWriter) event(e request.Event) {
+	ch := modelChoice{}
+	if o.chat {
+		ch.Delta = &chatContent{Content: e.Text}
+		if e.Number == 1 {
+			ch.Delta.Role = "assistant"
+		}
+	} else {
+		ch.Text = &e.Text
+	}
+	o.chunk(e.Number, ch, nil)
+}
+
+func (o *modelWriter) chunk(number int, ch modelChoice, u *conn.Usage) {
+	ans := o.head
+	ans.Choices, ans.Usage = []modelChoice{ch}, u
+	b, err := json.Marshal(ans)
+	if err != nil {
+		return
+	}
+	o.buf = append(o.buf, "id: "...)
+	o.buf = strconv.AppendInt(o.buf, int64(number), 10)
+	o.buf = append(o.buf, "\ndata: "...)
+	o.buf = append(o.buf, b...)
+	o.buf = append(o.buf, "\n\n"...)
+}
+
+// end writes how the answer ended. An answer that is not whole gets an error
+// event and no end marker.
+func (o *modelWriter) end(a *request.Answer, begun bool, after int, err *code.Error) {
+	if err != nil && !begun {
+		writeError(o.w, err)
+		return
+	}
+	if err != nil {
+		body, _ := errorOf(err)
+		b, _ := json.Marshal(body)
+		o.buf = append(append(append(o.buf, "data: "...), b...), "\n\n"...)
+		o.flush()
+		return
+	}
+	reason := a.Finish()
+	ch := modelChoice{FinishReason: &reason}
+	if o.chat {
+		ch.Delta = &chatContent{}
+	} else {
+		empty := ""
+		ch.Text = &empty
+	}
+	var u *conn.Usage
+	if o.r.Model.Usage {
+		usage := a.Usage()
+		u = &usage
+	}
+	o.chunk(after+1, ch, u)
+	o.buf = append(o.buf, "data: [DONE]\n\n"...)
+	o.flush()
+}
+
+// writeWait bounds how long a caller may take to read what is written to it.
+const writeWait = 30 * time.Second
+
+func (o *modelWriter) flush() {
+	rc := http.NewResponseController(o.w)
+	rc.SetWriteDeadline(time.Now().Add(writeWait))
+	o.w.Write(o.buf)
+	rc.Flush()
+	o.buf = o.buf[:0]
+}
--- /dev/null
+++ b/process/asks.go
@@ -0,0 +1,208 @@
+// SPDX-License-Identifier: MIT
+
+package process
+
+import (
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/hashicorp/golang-lru/v2/expirable"
+	"github.com/pkg/errors"
+
+	"streambend.example/conn"
+	"streambend.example/request"
+)
+
+// The kinds of question between daemons.
+const (
+	askClaim    = "claim"    // what became of a claim of yours
+	askVersion  = "version"  // which version is in force at yours
+	askHandOver = "handover" // keep these answers until their callers come
+	askTakeOver = "takeover" // give me the answer you keep under a name
+)
+
+const askTimeout = time.Second
+
+type claimAnswer struct {
+	State request.HolderState `codec:"s"`
+}
+
+type versionAnswer struct {
+	Version int64 `codec:"v"`
+}
+
+type takeOverAnswer struct {
+	Found    bool             `codec:"f"`
+	Snapshot request.Snapshot `codec:"s"`
+}
+
+// handed keeps answers that a stopping daemon has given us.
+type handed struct {
+	lru *expirable.LRU[string, request.Snapshot]
+}
+
+const (
+	handedKept = 512
+	handedLife = 2 * time.Minute
+)
+
+func newHanded() *handed {
+	return &handed{lru: expirable.NewLRU[string, request.Snapshot](handedKept, nil, handedLife)}
+}
+
+// answerAsk answers another daemon.
+func (d *Daemon) answerAsk(_ context.Context, from, kind string, body []byte) ([]byte, error) {
+	switch kind {
+	case askClaim:
+		var name string
+		if err := conn.Unmarshal(body, &name); err != nil {
+			return nil, err
+		}
+		return conn.Marshal(claimAnswer{d.Server.AnswerClaim(name)}), nil
+	case askVersion:
+		return conn.Marshal(versionAnswer{d.Config().Version}), nil
+	case askHandOver:
+		var hs []request.Handover
+		if err := conn.Unmarshal(body, &hs); err != nil {
+			return nil, err
+		}
+		for _, h := range hs {
+			d.handed.lru.Add(h.Name, h.Snapshot)
+		}
+		d.log.WithField("part", "process").Infof("handover: %d answers of %s are kept here", len(hs), from)
+		return nil, nil
+	case askTakeOver:
+		var name string
+		if err := conn.Unmarshal(body, &name); err != nil {
+			return nil, err
+		}
+		s, ok := d.handed.lru.Get(name)
+		d.handed.lru.Remove(name)
+		return conn.Marshal(takeOverAnswer{ok, s}), nil
+	}
+	return nil, errors.Errorf("process: no question %q", kind)
+}
+
+// peerAsker implements request.Peers.
+type peerAsker struct{ d *Daemon }
+
+// AskClaim asks the start of a daemon that holds a claim. A daemon that has
+// been started again since does not know it.
+func (p peerAsker) AskClaim(ctx context.Context, holder, name string) request.HolderState {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	member, _, _ := strings.Cut(holder, "#")
+	for _, m := range p.d.Hub.Mesh.Members() {
+		if m.Name != member || holder != instanceOf(m) {
+			continue
+		}
+		b, err := p.d.Hub.Ask(ctx, member, askClaim, conn.Marshal(name))
+		var a claimAnswer
+		if err == nil && conn.Unmarshal(b, &a) == nil {
+			return a.State
+		}
+	}
+	return request.HolderUnknown
+}
+
+// keepers returns the daemons that keep a handed-over answer, the likeliest
+// first: the same for all who know the same members.
+func (d *Daemon) keepers(name string) []conn.Member {
+	var out []conn.Member
+	best := make(map[string]uint64)
+	for _, m := range d.Hub.Mesh.Members() {
+		if m.Name == d.Self.Name && d.draining.Load() {
+			continue
+		}
+		best[m.Name] = xxhash.Sum64String(m.Name + "|" + name)
+		i := 0
+		for i < len(out) && best[out[i].Name] > best[m.Name] {
+			i++
+		}
+		out = append(out[:i], append([]conn.Member{m}, out[i:]...)...)
+	}
+	return out[:min(len(out), 2)]
+}
+
+// TakeOver asks the daemons that would keep a handed-over answer.
+func (p peerAsker) TakeOver(ctx context.Context, name string) (request.Snapshot, bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	for _, m := range p.d.keepers(name) {
+		if m.Name == p.d.Self.Name {
+			if s, ok := p.d.handed.lru.Get(name); ok {
+				p.d.handed.lru.Remove(name)
+				return s, true
+			}
+			continue
+		}
+		b, err := p.d.Hub.Ask(ctx, m.Name, askTakeOver, conn.Marshal(name))
+		var a takeOverAnswer
+		if err == nil && conn.Unmarshal(b, &a) == nil && a.Found {
+			return a.Snapshot, true
+		}
+	}
+	return request.Snapshot{}, false
+}
+
+// handOver gives the keyed answers under way to peers and returns how many.
+func (d *Daemon) handOver() int {
+	hs := d.Server.HandOver()
+	byPeer := make(map[string][]request.Handover)
+	for _, h := range hs {
+		if ks := d.keepers(h.Name); len(ks) > 0 {
+			byPeer[ks[0].Name] = append(byPeer[ks[0].Name], h)
+		}
+	}
+	var wg sync.WaitGroup
+	for name, part := range byPeer {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			ctx, cancel := context.WithTimeout(context.Background(), 2*askTimeout)
+			defer cancel()
+			if _, err := d.Hub.Ask(ctx, name, askHandOver, conn.Marshal(part)); err != nil {
+				d.log.WithField("part", "process").Warnf("handover: %d answers not taken by %s: %v", len(part), name, err)
+			}
+		}()
+	}
+	wg.Wait()
+	return len(hs)
+}
+
+// memberVersion is a daemon and the version in force there.
+type memberVersion struct {
+	Name    string `json:"name"`
+	Zone    string `json:"zone"`
+	Version int64  `json:"version"` // -1 if it did not answer
+}
+
+// versions asks every daemon which version is in force there.
+func (d *Daemon) versions(ctx context.Context) []memberVersion {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	ms := d.Hub.Mesh.Members()
+	out := make([]memberVersion, len(ms))
+	var wg sync.WaitGroup
+	for i, m := range ms {
+		out[i] = memberVersion{Name: m.Name, Zone: m.Zone, Version: -1}
+		if m.Name == d.Self.Name {
+			out[i].Version = d.Config().Version
+			continue
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			b, err := d.Hub.Ask(ctx, m.Name, askVersion, nil)
+			var a versionAnswer
+			if err == nil && conn.Unmarshal(b, &a) == nil {
+				out[i].Version = a.Version
+			}
+		}()
+	}
+	wg.Wait()
+	return out
+}
--- /dev/null
+++ b/process/callers.go
@@ -0,0 +1,331 @@
+// SPDX-License-Identifier: MIT
+
+package process
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"streambend.example/code"
+	"streambend.example/request"
+	"streambend.example/version"
+)
+
+// The headers between callers and the daemon.
+const (
+	headKey      = "Idempotency-Key"
+	headLast     = "Last-Event-Id"
+	headDeadline = "Streambend-Deadline" // time the caller waits, such as 2.5s
+	headID       = "X-Request-Id"
+	headCode     = "Streambend-Code"
+	headRan      = "Streambend-Ran"
+)
+
+const (
+	maxKey = 256
+	maxID  = 128
+)
+
+// callers serves the callers.
+type callers struct {
+	d      *Daemon
+	tokens map[string]Caller
+}
+
+// newCallers returns the handler of the callers' address.
+func newCallers(d *Daemon) http.Handler {
+	c := &callers{d: d, tokens: make(map[string]Caller)}
+	for _, x := range d.Settings.Callers {
+		c.tokens[strings.ToLower(x.TokenSHA256)] = x
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", d.serveReady)
+	mux.HandleFunc("GET /v1/models", c.serveModels)
+	mux.HandleFunc("POST "+request.CompletionPath, c.serveModel)
+	mux.HandleFunc("POST "+request.ChatPath, c.serveModel)
+	mux.HandleFunc("/", c.servePlain)
+	return mux
+}
+
+func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !d.ready.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		io.WriteString(w, "unready\n")
+		return
+	}
+	io.WriteString(w, "ready\n")
+}
+
+// hashToken returns the form in which the settings hold a token.
+func hashToken(token string) string {
+	h := sha256.Sum256([]byte(token))
+	return hex.EncodeToString(h[:])
+}
+
+// bearer returns the hash of a request's bearer token.
+func bearer(r *http.Request) string {
+	token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return hashToken(token)
+}
+
+func (c *callers) caller(r *http.Request) (Caller, error) {
+	x, ok := c.tokens[bearer(r)]
+	if !ok {
+		return x, code.New(code.UnknownToken, "send Authorization: Bearer with a team's token")
+	}
+	return x, nil
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// serveModels lists the names that the caller may use as model.
+func (c *callers) serveModels(w http.ResponseWriter, r *http.Request) {
+	who, err := c.caller(r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	list := modelList{Object: "list", Data: []modelItem{}}
+	for _, row := range c.d.Config().Rows {
+		if row.Service.Partner != who.Partner || row.Service.Kind != version.Model {
+			continue
+		}
+		for _, rt := range row.Service.Routes {
+			list.Data = append(list.Data, modelItem{ID: rt.Name, Object: "model", OwnedBy: row.Service.Name})
+		}
+	}
+	writeJSON(w, http.StatusOK, list)
+}
+
+// read reads what every request has: who, body, headers.
+func (c *callers) read(w http.ResponseWriter, r *http.Request) (*request.Request, error) {
+	who, err := c.caller(r)
+	if err != nil {
+		return nil, err
+	}
+	if c.d.Settings.Isolated == "unready" && !c.d.ready.Load() && !c.d.draining.Load() {
+		return nil, code.New(code.Isolated, "this daemon has no configuration it can trust").After(time.Second)
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, c.d.Settings.Limits.BodyBytes))
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		return nil, code.New(code.BodyTooLarge, "over %d bytes", large.Limit)
+	}
+	if err != nil {
+		return nil, code.New(code.BadBody, "%v", err)
+	}
+	req := &request.Request{
+		ID: r.Header.Get(headID), Key: r.Header.Get(headKey), Partner: who.Partner, Team: who.Team, Weight: who.Weight,
+		Arrived: time.Now(), Path: r.URL.RequestURI(), Method: r.Method, Header: r.Header, Body: body,
+	}
+	if req.ID == "" {
+		req.ID = uuid.NewString()
+	}
+	return req, readHeaders(req, r)
+}
+
+// safe reports whether s can stand in a header or a log line as it is.
+func safe(s string, most int) bool {
+	return len(s) <= most && !strings.ContainsFunc(s, func(c rune) bool { return c <= ' ' || c > '~' })
+}
+
+func readHeaders(req *request.Request, r *http.Request) error {
+	if !safe(req.ID, maxID) {
+		return code.New(code.BadHeader, "%s must be at most %d visible ASCII characters", headID, maxID)
+	}
+	if !safe(req.Key, maxKey) {
+		return code.New(code.BadHeader, "%s must be at most %d visible ASCII characters", headKey, maxKey)
+	}
+	if last := r.Header.Get(headLast); last != "" {
+		n, err := strconv.Atoi(last)
+		if err != nil || n < 0 {
+			return code.New(code.BadHeader, "%s must be an event's number", headLast)
+		}
+		req.After = n
+	}
+	if wait := r.Header.Get(headDeadline); wait != "" {
+		d, err := time.ParseDuration(wait)
+		if err != nil || d <= 0 {
+			return code.New(code.BadHeader, "%s must be a time such as 2.5s", headDeadline)
+		}
+		req.Deadline = req.Arrived.Add(d)
+	}
+	return nil
+}
+
+// bind finds the service of a request.
+func (c *callers) bind(req *request.Request, name string, kind version.Kind) error {
+	svc, route, ok := c.d.Config().Lookup(req.Partner, name)
+	if !ok || svc.Kind != kind {
+		return code.New(code.NoSuchService, "no %s service answers to %q", kind, name)
+	}
+	req.Service, req.Route = svc, route
+	req.Unrepeatable = route.Unrepeatable
+	if req.Deadline.IsZero() {
+		wait := route.Deadline.Duration
+		if wait == 0 {
+			wait = c.d.Settings.Timing.Deadline.Duration
+		}
+		req.Deadline = req.Arrived.Add(wait)
+	}
+	return nil
+}
+
+// serveModel answers a completion or chat request.
+func (c *callers) serveModel(w http.ResponseWriter, r *http.Request) {
+	req, err := c.read(w, r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set(headID, req.ID)
+	var name string
+	if req.Model, name, err = request.ParseModel(r.URL.Path, req.Body); err == nil {
+		req.Path = r.URL.Path
+		err = c.bind(req, name, version.Model)
+	}
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	a, err := c.d.Server.Begin(r.Context(), req.Arrived, req)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	o := newModelWriter(w, req, name)
+	if req.Model.Stream {
+		o.stream(r.Context(), a)
+		return
+	}
+	o.whole(r.Context(), a)
+}
+
+// servePlain answers a call to a plain service, named by the path's first
+// part.
+func (c *callers) servePlain(w http.ResponseWriter, r *http.Request) {
+	req, err := c.read(w, r)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	w.Header().Set(headID, req.ID)
+	name, rest, _ := strings.Cut(strings.TrimPrefix(r.URL.EscapedPath(), "/"), "/")
+	if err := c.bind(req, name, version.Plain); err != nil {
+		writeError(w, err)
+		return
+	}
+	req.Path = "/" + rest
+	if r.URL.RawQuery != "" {
+		req.Path += "?" + r.URL.RawQuery
+	}
+	writes := r.Method == http.MethodPost || r.Method == http.MethodPatch
+	req.Unrepeatable = req.Unrepeatable && writes
+	a, err := c.d.Server.Begin(r.Context(), req.Arrived, req)
+	if err != nil {
+		writeError(w, err)
+		return
+	}
+	if err := wait(r.Context(), a); err != nil {
+		writeError(w, err)
+		return
+	}
+	writePlain(w, a)
+}
+
+func writePlain(w http.ResponseWriter, a *request.Answer) {
+	ans := a.Snapshot().Plain
+	if ans == nil {
+		writeError(w, code.New(code.NotWhole, "no answer"))
+		return
+	}
+	for k, vs := range ans.Header {
+		switch k {
+		case "Connection", "Keep-Alive", "Transfer-Encoding", "Trailer", "Upgrade", "Content-Length":
+		default:
+			w.Header()[k] = vs
+		}
+	}
+	w.Header().Set(headRan, code.RanWhole.String())
+	w.WriteHeader(ans.Status)
+	w.Write(ans.Body)
+}
+
+// wait returns once the answer has ended, with its error.
+func wait(ctx context.Context, a *request.Answer) error {
+	changed, stop := a.Follow()
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return code.New(code.UnknownOutcome, "the caller has gone")
+		case <-changed:
+		}
+		if done, err := a.Ended(); done {
+			if err != nil {
+				return err
+			}
+			return nil
+		}
+	}
+}
+
+type errorBody struct {
+	Error errorText `json:"error"`
+}
+
+// errorText has the members that OpenAI's client libraries read, and ours.
+type errorText struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+	Ran     string `json:"ran"`
+}
+
+func errorOf(err error) (errorBody, *code.Error) {
+	e := code.From(err)
+	entry := e.Code.Entry()
+	return errorBody{errorText{
+		Message: e.Error(), Type: entry.Name, Code: strconv.Itoa(int(e.Code)), Ran: entry.Ran.String(),
+	}}, e
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	body, e := errorOf(err)
+	w.Header().Set(headCode, body.Error.Code)
+	w.Header().Set(headRan, body.Error.Ran)
+	if e.RetryAfter > 0 {
+		seconds := int64((e.RetryAfter + time.Second - 1) / time.Second)
+		w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	writeJSON(w, e.Code.Entry().Status, body)
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/process/current.go
@@ -0,0 +1,241 @@
+// SPDX-License-Identifier: MIT
+
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"streambend.example/conn"
+	"streambend.example/platform"
+	"streambend.example/version"
+)
+
+// recentKept is how many entries are kept to give to neighbours.
+const recentKept = 256
+
+// current is the configuration in force here. It moves upward only.
+type current struct {
+	log version.Log
+
+	mu     sync.Mutex
+	cfg    *version.Config
+	recent []version.Entry
+	synced time.Time // when the table last answered
+	have   bool      // from table or peers
+}
+
+func newCurrent(l version.Log) *current { return &current{log: l, cfg: version.Empty()} }
+
+func (c *current) get() *version.Config {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cfg
+}
+
+// apply takes entries in and reports whether the version grew, and whether
+// entries are missing in between.
+func (c *current) apply(es []version.Entry) (grew, gap bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, e := range es {
+		next := c.cfg.Apply(e)
+		if next == c.cfg {
+			gap = gap || e.Version > c.cfg.Version+1
+			continue
+		}
+		c.cfg, grew, c.have = next, true, true
+		c.recent = append(c.recent, e)
+		if len(c.recent) > recentKept {
+			c.recent = c.recent[len(c.recent)-recentKept:]
+		}
+	}
+	return grew, gap
+}
+
+// replace takes a whole configuration in, if it is newer.
+func (c *current) replace(cfg *version.Config) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.have = true
+	if cfg.Version <= c.cfg.Version {
+		return false
+	}
+	c.cfg, c.recent = cfg, nil
+	return true
+}
+
+// after returns the entries after a version, or the whole configuration if
+// they are not kept.
+func (c *current) after(v int64) conn.Payload {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.recent) > 0 && c.recent[0].Version <= v+1 {
+		return conn.Payload{Entries: c.recent[v+1-c.recent[0].Version:]}
+	}
+	return conn.Payload{Config: c.cfg}
+}
+
+// tableSynced notes that the table has answered.
+func (c *current) tableSynced(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.synced, c.have = now, true
+}
+
+func (c *current) state() (synced time.Time, have bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.synced, c.have
+}
+
+// sharedPeriod stretches a period so that its cost at the table stays the
+// same for a zone however many daemons the zone has, and adds jitter.
+func (d *Daemon) sharedPeriod(p time.Duration) time.Duration {
+	n := 0
+	for _, m := range d.Hub.Mesh.Members() {
+		if m.Zone == d.Self.Zone {
+			n++
+		}
+	}
+	p = p * time.Duration(max(n, 2)) / 2
+	return p*9/10 + time.Duration(rand.Int64N(int64(p)/5+1))
+}
+
+// syncConfig is the backstop behind the push over the links.
+func (d *Daemon) syncConfig(now time.Time) time.Duration {
+	ctx, cancel := context.WithTimeout(d.ctx, 2*tableTimeout)
+	defer cancel()
+	before := d.config.get()
+	var err error
+	if before.Version == 0 {
+		var c *version.Config
+		if c, err = d.config.log.Load(ctx); err == nil && d.config.replace(c) {
+			d.inForce(c, "table")
+		}
+	} else {
+		var fresh []version.Entry
+		if _, fresh, err = d.config.log.Advance(ctx, before); err == nil {
+			d.adopt(fresh, "table")
+		}
+	}
+	if err == nil {
+		d.config.tableSynced(now)
+	}
+	d.judgeReady(now)
+	return d.sharedPeriod(d.Settings.Timing.Poll.Duration)
+}
+
+// adopt takes entries in and reports whether the version grew.
+func (d *Daemon) adopt(es []version.Entry, from string) bool {
+	grew, _ := d.config.apply(es)
+	if grew {
+		d.inForce(d.config.get(), from)
+	}
+	return grew
+}
+
+// inForce follows a new version up.
+func (d *Daemon) inForce(c *version.Config, from string) {
+	d.Hub.Mesh.SetVersion(c.Version)
+	d.log.WithField("part", "config").Infof("config: version %d in force, from %s", c.Version, from)
+	for _, w := range d.Server.Works.All() {
+		if _, ok := c.Rows[w.Pool.Service]; !ok {
+			d.Server.Works.Drop(w.Pool.Service)
+		}
+	}
+	d.fleet.resync()
+}
+
+// isolationBound is how long neither table nor peers may be heard of.
+const isolationBound = 10 * time.Second
+
+// judgeReady decides whether callers may be sent here.
+func (d *Daemon) judgeReady(now time.Time) {
+	synced, have := d.config.state()
+	isolated := now.Sub(synced) > isolationBound && d.Hub.Mesh.Neighbours() == 0
+	ok := have && !d.draining.Load() && (!isolated || d.Settings.Isolated == "serve")
+	if d.ready.Swap(ok) != ok {
+		d.log.WithField("part", "process").Infof("ready: %t (configuration %t, isolated %t)", ok, have, isolated)
+	}
+}
+
+const (
+	memberPart   = "member"
+	memberPeriod = time.Minute
+	seedPeriod   = 2 * time.Second
+)
+
+// syncMembers writes our row and reads the others', so that daemons that know
+// nobody find each other.
+func (d *Daemon) syncMembers(now time.Time) time.Duration {
+	ctx, cancel := context.WithTimeout(d.ctx, 2*tableTimeout)
+	defer cancel()
+	d.writeMember(ctx)
+	if items, err := d.tables.report.Query(ctx, memberPart, "", 1000); err == nil {
+		var found []conn.Member
+		for _, it := range items {
+			var m conn.Member
+			if json.Unmarshal(it.Value, &m) == nil {
+				found = append(found, m)
+			}
+		}
+		d.Hub.Mesh.Learn(now, found)
+	}
+	if d.Hub.Mesh.Neighbours() == 0 {
+		for _, a := range d.Settings.Peers.Seeds {
+			d.Hub.Greet(now, a)
+		}
+		return seedPeriod
+	}
+	return d.sharedPeriod(memberPeriod)
+}
+
+func (d *Daemon) writeMember(ctx context.Context) {
+	key := platform.Key{Part: memberPart, Sort: d.Self.Name}
+	it, err := d.tables.report.Get(ctx, key)
+	if err != nil && err != platform.ErrNotFound {
+		return
+	}
+	var old conn.Member
+	if err == nil && json.Unmarshal(it.Value, &old) == nil && old == d.Self {
+		return
+	}
+	v, err := json.Marshal(d.Self)
+	if err == nil {
+		platform.Put(ctx, d.tables.report, uuid.NewString(), platform.Write{Key: key, Rev: it.Rev, Value: v})
+	}
+}
+
+// take takes in what a link has brought.
+func (d *Daemon) take(now time.Time, in conn.Delivery) {
+	p := in.Payload
+	if in.Want > 0 {
+		d.Hub.Give(in.From, d.config.after(in.Want-1))
+	}
+	if p.Config != nil && d.config.replace(p.Config) {
+		d.inForce(d.config.get(), in.From)
+	}
+	if len(p.Entries) > 0 {
+		d.adopt(p.Entries, in.From)
+		// A gap is closed by the heartbeats: a neighbour that is ahead is
+		// asked for what is missing.
+	}
+	if p.Config != nil || len(p.Entries) > 0 {
+		d.judgeReady(now)
+	}
+	for _, n := range p.Notices {
+		d.fleet.notice(now, n)
+	}
+	for _, l := range p.Loads {
+		d.fleet.hear(now, l)
+	}
+	if len(p.Demands) > 0 {
+		d.fleet.hearDemand(now, in.From, p.Demands)
+	}
+}
--- /dev/null
+++ b/process/daemon.go
@@ -0,0 +1,272 @@
+// SPDX-License-Identifier: MIT
+
+package process
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	metrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/net/netutil"
+
+	"streambend.example/conn"
+	"streambend.example/platform"
+	"streambend.example/request"
+	"streambend.example/version"
+)
+
+// Platform is what a daemon needs of the platform.
+type Platform struct {
+	Table   platform.Table
+	Objects platform.Objects
+	Cloud   platform.Cloud
+	Boxes   platform.BoxList
+}
+
+// Adapters returns the adapters that the settings name.
+func Adapters(s Settings) Platform {
+	cloud := platform.CloudHTTP{Base: s.Platform.Cloud, Client: &http.Client{Timeout: 5 * time.Second}}
+	return Platform{
+		Table:   platform.NewDynamo(s.Platform.access(), s.Platform.Table),
+		Objects: platform.NewS3(s.Platform.access(), s.Platform.Bucket),
+		Cloud:   cloud, Boxes: cloud,
+	}
+}
+
+// tableTimeout bounds one call to the table.
+const tableTimeout = 2 * time.Second
+
+// Daemon is a running daemon.
+type Daemon struct {
+	Settings Settings
+	Self     conn.Member
+	Server   *request.Server
+	Hub      *conn.Hub
+
+	log      *logrus.Logger
+	plat     Platform
+	tables   tables
+	config   *current
+	fleet    *fleet
+	lead     *lead
+	handed   *handed
+	registry metrics.Registry
+
+	callers   *http.Server
+	operators *http.Server
+	peers     *http.Server
+	addrs     Addresses
+
+	ready    atomic.Bool
+	draining atomic.Bool
+	ctx      context.Context
+	cancel   context.CancelFunc
+	wg       sync.WaitGroup
+}
+
+// Addresses are the addresses that a daemon listens on.
+type Addresses struct {
+	Callers   string
+	Operators string
+	Peers     string
+}
+
+// tables are the table at each priority, over one bucket.
+type tables struct {
+	claim, lease, config, report platform.Table
+}
+
+func newTables(t platform.Table, rate float64) tables {
+	b := platform.NewBucket(rate, max(int(rate), 10))
+	at := func(p platform.Priority) platform.Table {
+		return platform.Limited{Table: t, Bucket: b, Priority: p, Timeout: tableTimeout}
+	}
+	return tables{
+		claim: at(platform.PriorityClaim), lease: at(platform.PriorityLease),
+		config: at(platform.PriorityConfig), report: at(platform.PriorityReport),
+	}
+}
+
+// New starts a daemon. It is ready once it has a configuration.
+func New(s Settings, p Platform, log *logrus.Logger) (*Daemon, error) {
+	ls, err := listen(s.Listen)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{Settings: s, plat: p, log: log, registry: metrics.NewRegistry()}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.addrs = Addresses{ls.callers.Addr().String(), ls.operators.Addr().String(), ls.peers.Addr().String()}
+	d.Self = conn.Member{Name: s.Name, Start: time.Now().UnixMilli(), Address: d.addrs.Peers, Zone: s.Zone}
+	d.tables = newTables(p.Table, s.Platform.TableRate)
+	d.handed = newHanded()
+	client := conn.NewClient(s.Limits.BodyBytes)
+	claims := request.NewClaims(d.instance(), d.tables.claim)
+	d.Server = request.NewServer(s.options(), client, claims, peerAsker{d}, log)
+	d.config = newCurrent(version.Log{Table: d.tables.config, Objects: p.Objects})
+	mesh := conn.NewMesh(d.Self, conn.DefaultTiming())
+	d.Hub = conn.NewHub(mesh, d.Self, s.Peers.Secret, log, d.take, d.answerAsk)
+	d.fleet = newFleet(d)
+	d.lead = newLead(d)
+	d.gauges()
+	d.serve(ls)
+	d.background()
+	return d, nil
+}
+
+// instance names this start of the daemon.
+func (d *Daemon) instance() string { return instanceOf(d.Self) }
+
+func instanceOf(m conn.Member) string { return fmt.Sprintf("%s#%d", m.Name, m.Start) }
+
+// Addresses returns where the daemon listens.
+func (d *Daemon) Addresses() Addresses { return d.addrs }
+
+// Config returns the configuration in force here.
+func (d *Daemon) Config() *version.Config { return d.config.get() }
+
+type listeners struct {
+	callers, operators, peers net.Listener
+}
+
+func listen(l Listen) (ls listeners, err error) {
+	for _, x := range []struct {
+		to   *net.Listener
+		addr string
+	}{{&ls.callers, l.Callers}, {&ls.operators, l.Operators}, {&ls.peers, l.Peers}} {
+		if *x.to, err = net.Listen("tcp", x.addr); err != nil {
+			return ls, errors.Wrap(err, "process: listen")
+		}
+	}
+	return ls, nil
+}
+
+const (
+	headerWait = 10 * time.Second
+	idleWait   = 2 * time.Minute
+)
+
+func (d *Daemon) newServer(h http.Handler) *http.Server {
+	return &http.Server{
+		Handler: h, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, MaxHeaderBytes: d.Settings.Limits.HeaderBytes,
+	}
+}
+
+// serve starts the servers.
+func (d *Daemon) serve(ls listeners) {
+	d.callers = d.newServer(newCallers(d))
+	d.operators = d.newServer(newOperators(d))
+	mux := http.NewServeMux()
+	mux.Handle(conn.PeerPath, d.Hub)
+	d.peers = d.newServer(mux)
+	limited := netutil.LimitListener(ls.callers, d.Settings.Limits.Connections)
+	tls := d.Settings.TLS
+	d.run(func() { d.serveOn(d.callers, limited, tls) })
+	d.run(func() { d.serveOn(d.operators, ls.operators, tls) })
+	d.run(func() { d.serveOn(d.peers, ls.peers, TLSSettings{}) })
+}
+
+func (d *Daemon) serveOn(s *http.Server, l net.Listener, t TLSSettings) {
+	var err error
+	if t.Certificate != "" {
+		err = s.ServeTLS(l, t.Certificate, t.Key)
+	} else {
+		err = s.Serve(l)
+	}
+	if !errors.Is(err, http.ErrServerClosed) {
+		d.log.WithField("part", "process").Errorf("serve: %v", err)
+	}
+}
+
+// run starts a goroutine that Stop waits for.
+func (d *Daemon) run(f func()) {
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		f()
+	}()
+}
+
+// every runs f at once and then with the period that it returns, until the
+// daemon stops.
+func (d *Daemon) every(f func(now time.Time) time.Duration) {
+	d.run(func() {
+		for {
+			wait := f(time.Now())
+			select {
+			case <-d.ctx.Done():
+				return
+			case <-time.After(wait):
+			}
+		}
+	})
+}
+
+// Stop stops the daemon as planned: unready, then closed to new requests,
+// then finished or handed over, then gone.
+func (d *Daemon) Stop(ctx context.Context) {
+	log := d.log.WithField("part", "process")
+	log.Infof("stop: %s is unready", d.Self.Name)
+	d.draining.Store(true)
+	d.ready.Store(false)
+	d.callers.SetKeepAlivesEnabled(false)
+	sleep(ctx, d.Settings.Timing.Unready.Duration)
+	d.lead.release()
+	drain, cancel := context.WithTimeout(ctx, d.Settings.Timing.Drain.Duration)
+	defer cancel()
+	err := d.callers.Shutdown(drain)
+	if err == nil {
+		err = d.Server.Wait(drain)
+	}
+	if err != nil {
+		n := d.handOver()
+		log.Infof("stop: %d requests handed over: %v", n, err)
+	}
+	d.Hub.Leave(time.Now())
+	sleep(ctx, leavePause)
+	d.Kill()
+}
+
+// leavePause lets the last frames and answers go out.
+const leavePause = 200 * time.Millisecond
+
+func sleep(ctx context.Context, t time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(t):
+	}
+}
+
+// Kill ends the daemon without notice to anyone.
+func (d *Daemon) Kill() {
+	d.draining.Store(true)
+	d.cancel()
+	d.Server.Kill()
+	d.callers.Close()
+	d.operators.Close()
+	d.peers.Close()
+	d.Hub.Close()
+	d.wg.Wait()
+}
+
+// background starts what runs by the clock.
+func (d *Daemon) background() {
+	d.every(func(now time.Time) time.Duration {
+		d.Server.Works.Tick(now)
+		return 100 * time.Millisecond
+	})
+	d.every(d.syncConfig)
+	d.every(d.syncMembers)
+	d.every(d.fleet.list)
+	d.every(d.fleet.notices)
+	d.every(d.fleet.watch)
+	d.every(d.fleet.demand)
+	d.every(d.lead.step)
+	d.every(d.lead.placeAll)
+}
--- /dev/null
+++ b/process/fleet.go
@@ -0,0 +1,340 @@
+// SPDX-License-Identifier: MIT
+
+package process
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
+
+	"streambend.example/conn"
+	"streambend.example/platform"
+	"streambend.example/request"
+)
+
+// fleet is what this daemon knows of the boxes and their endpoints.
+type fleet struct {
+	d   *Daemon
+	log *logrus.Entry
+
+	mu      sync.Mutex
+	seq     int64
+	boxes   []platform.Box
+	noticed map[string]time.Time // box to deadline
+	classes map[string]request.Class
+	events  map[string]int64 // box to the last cache event
+	probing map[string]bool
+	demands map[string]heard // daemon to what it has told
+	told    map[conn.Demand]bool
+	toldAt  time.Time
+}
+
+type heard struct {
+	at      time.Time
+	demands []conn.Demand
+}
+
+func newFleet(d *Daemon) *fleet {
+	return &fleet{
+		d: d, log: d.log.WithField("part", "fleet"),
+		noticed: make(map[string]time.Time), classes: make(map[string]request.Class), events: make(map[string]int64),
+		probing: make(map[string]bool), demands: make(map[string]heard), told: make(map[conn.Demand]bool),
+	}
+}
+
+// list reads the platform's box list.
+func (f *fleet) list(now time.Time) time.Duration {
+	period := f.d.sharedPeriod(f.d.Settings.Timing.List.Duration)
+	ctx, cancel := context.WithTimeout(f.d.ctx, tableTimeout)
+	defer cancel()
+	f.mu.Lock()
+	since := f.seq
+	f.mu.Unlock()
+	page, err := f.d.plat.Boxes.List(ctx, since)
+	if err != nil || page.Boxes == nil {
+		return period
+	}
+	f.mu.Lock()
+	f.seq, f.boxes = page.Seq, page.Boxes
+	f.mu.Unlock()
+	f.resync()
+	return period
+}
+
+// resync brings the pools in line with the list and the configuration.
+func (f *fleet) resync() {
+	now := time.Now()
+	f.mu.Lock()
+	boxes := f.boxes
+	noticed := make(map[string]time.Time, len(f.noticed))
+	for b, t := range f.noticed {
+		noticed[b] = t
+	}
+	f.mu.Unlock()
+	cfg := f.d.Config()
+	for _, row := range cfg.Rows {
+		w := f.d.Server.Works.Get(&row.Service)
+		for _, b := range w.Pool.Sync(boxes) {
+			f.found(now, conn.Notice{Box: b.ID, Deadline: b.Deadline})
+		}
+	}
+	// A notice may have come before its box was known here.
+	for b, t := range noticed {
+		f.d.Server.Notice(now, t, b)
+	}
+}
+
+// snapshot returns the boxes as last listed.
+func (f *fleet) snapshot() []platform.Box {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.boxes
+}
+
+// noticeKept is how long a notice is remembered past its deadline.
+const noticeKept = 5 * time.Minute
+
+// found takes in a notice that this daemon has found itself, and tells the
+// others if it is news.
+func (f *fleet) found(now time.Time, n conn.Notice) {
+	if f.notice(now, n) {
+		f.d.Hub.Tell(conn.Payload{Notices: []conn.Notice{n}})
+	}
+}
+
+// notice takes a reclaim notice in and reports whether it is news.
+func (f *fleet) notice(now time.Time, n conn.Notice) bool {
+	f.mu.Lock()
+	_, old := f.noticed[n.Box]
+	if !old {
+		f.noticed[n.Box] = n.Deadline
+	}
+	for b, t := range f.noticed {
+		if now.Sub(t) > noticeKept {
+			delete(f.noticed, b)
+		}
+	}
+	f.mu.Unlock()
+	if old {
+		return false
+	}
+	f.log.Infof("notice: %s leaves in %s", n.Box, n.Deadline.Sub(now).Round(time.Millisecond))
+	f.d.Server.Notice(now, n.Deadline, n.Box)
+	return true
+}
+
+// notices reads the platform's reclaim notices.
+func (f *fleet) notices(now time.Time) time.Duration {
+	period := f.d.sharedPeriod(f.d.Settings.Timing.List.Duration) / 2
+	ctx, cancel := context.WithTimeout(f.d.ctx, tableTimeout)
+	defer cancel()
+	ns, err := f.d.plat.Cloud.Notices(ctx)
+	if err != nil {
+		return period
+	}
+	for _, n := range ns {
+		f.found(time.Now(), conn.Notice{Box: n.Box, Deadline: n.Deadline})
+	}
+	return period
+}
+
+// watchers is how many daemons look at each endpoint.
+const watchers = 2
+
+// watches reports whether this daemon is one that looks at an endpoint: the
+// first of its zone's daemons in rendezvous order, or of all if there is none.
+func watches(self conn.Member, members []conn.Member, t *request.Target) bool {
+	in := make([]conn.Member, 0, len(members))
+	for _, m := range members {
+		if m.Zone == t.Zone {
+			in = append(in, m)
+		}
+	}
+	if len(in) == 0 {
+		in = members
+	}
+	ahead := 0
+	mine := xxhash.Sum64String(self.Name + "|" + t.ID)
+	present := false
+	for _, m := range in {
+		if m.Name == self.Name {
+			present = true
+		} else if xxhash.Sum64String(m.Name+"|"+t.ID) > mine {
+			ahead++
+		}
+	}
+	return present && ahead < watchers
+}
+
+// watch looks at the load of this daemon's share of the endpoints, and tells
+// the others of those whose class has changed.
+func (f *fleet) watch(time.Time) time.Duration {
+	members := f.d.Hub.Mesh.Members()
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var changed []conn.LoadClass
+	for _, w := range f.d.Server.Works.All() {
+		for _, t := range w.Pool.Targets() {
+			if !watches(f.d.Self, members, t) || !f.begin(t.ID) {
+				continue
+			}
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				defer f.finish(t.ID)
+				if c, ok := f.probe(w, t); ok {
+					mu.Lock()
+					defer mu.Unlock()
+					changed = append(changed, c)
+				}
+			}()
+		}
+	}
+	wg.Wait()
+	if len(changed) > 0 {
+		f.d.Hub.Tell(conn.Payload{Loads: changed})
+	}
+	return f.d.Settings.Timing.Watch.Duration
+}
+
+func (f *fleet) begin(box string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	busy := f.probing[box]
+	f.probing[box] = true
+	return !busy
+}
+
+func (f *fleet) finish(box string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.probing, box)
+}
+
+// probe asks one endpoint for its load. It reports whether the class changed.
+func (f *fleet) probe(w *request.Work, t *request.Target) (conn.LoadClass, bool) {
+	ctx, cancel := context.WithTimeout(f.d.ctx, f.d.Settings.Timing.Watch.Duration)
+	defer cancel()
+	f.mu.Lock()
+	since := f.events[t.ID]
+	f.mu.Unlock()
+	load, err := f.d.Server.Client.Load(ctx, t.Address, since)
+	now := time.Now()
+	if err != nil {
+		if _, leaving := t.Leaving(); !leaving && f.d.ctx.Err() == nil && t.Fail(now, false) {
+			f.log.Warnf("eject: %s does not tell its load: %v", t.ID, err)
+		}
+		return conn.LoadClass{}, false
+	}
+	f.cacheEvents(w, t, since, load.Events)
+	if load.Leaving {
+		f.found(now, conn.Notice{Box: t.ID, Deadline: now.Add(time.Minute)})
+		return conn.LoadClass{}, false
+	}
+	t.Report(now, load.Running+load.Waiting, load.Batch)
+	class, _ := t.Class(now)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.classes[t.ID]
+	f.classes[t.ID] = class
+	return conn.LoadClass{Box: t.ID, Class: int(class)}, before != class
+}
+
+func (f *fleet) cacheEvents(w *request.Work, t *request.Target, since int64, events []conn.CacheEvent) {
+	for _, e := range events {
+		if e.Seq > since+1 && since > 0 {
+			w.Pool.Gap(t)
+		}
+		if p := request.ParseCacheKey(e.Removed); p != 0 {
+			w.Pool.Evicted(t, p)
+		}
+		since = e.Seq
+	}
+	f.mu.Lock()
+	f.events[t.ID] = since
+	f.mu.Unlock()
+}
+
+// hear takes in the class that a watcher has told of.
+func (f *fleet) hear(now time.Time, l conn.LoadClass) {
+	if l.Class < 0 || l.Class > int(request.Leaving) {
+		return
+	}
+	if _, t := f.d.Server.Works.Find(l.Box); t != nil {
+		t.Hear(now, request.Class(l.Class))
+	}
+}
+
+const (
+	demandPeriod = time.Second
+	demandRepeat = 10 * time.Second
+	demandLife   = 25 * time.Second
+)
+
+// demand tells the others how many requests of each service are here, when
+// that has changed.
+func (f *fleet) demand(now time.Time) time.Duration {
+	var ds []conn.Demand
+	for _, w := range f.d.Server.Works.All() {
+		running, queued := w.Queue.State()
+		if n := running + queued; n > 0 {
+			ds = append(ds, conn.Demand{Service: w.Pool.Service, Count: roughly(n)})
+		}
+	}
+	f.mu.Lock()
+	same := len(ds) == len(f.told) && !slices.ContainsFunc(ds, func(x conn.Demand) bool { return !f.told[x] })
+	due := !same || now.Sub(f.toldAt) >= demandRepeat && len(ds) > 0
+	if due {
+		f.told, f.toldAt = make(map[conn.Demand]bool), now
+		for _, x := range ds {
+			f.told[x] = true
+		}
+	}
+	f.mu.Unlock()
+	if due {
+		f.hearDemand(now, f.d.Self.Name, ds)
+		// The empty demand keeps the list from being left out when there is
+		// no other.
+		f.d.Hub.Tell(conn.Payload{Demands: append(ds, conn.Demand{})})
+	}
+	return demandPeriod
+}
+
+// roughly rounds a count up to two steps for each doubling, so that small
+// changes need not be told.
+func roughly(n int) int {
+	step := 1
+	for step*4 < n {
+		step *= 2
+	}
+	return (n + step - 1) / step * step
+}
+
+func (f *fleet) hearDemand(now time.Time, from string, ds []conn.Demand) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.demands[from] = heard{at: now, demands: ds}
+}
+
+// demandOf returns how many requests of a service are at all daemons.
+func (f *fleet) demandOf(now time.Time, service string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for from, h := range f.demands {
+		if now.Sub(h.at) > demandLife {
+			delete(f.demands, from)
+			continue
+		}
+		for _, x := range h.demands {
+			if x.Service == service {
+				n += x.Count
+			}
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/process/lead.go
@@ -0,0 +1,442 @@
+// SPDX-License-Identifier: MIT
+
+package process
+
+import (
+	"context"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+	"golang.org/x/time/rate"
+
+	"streambend.example/conn"
+	"streambend.example/platform"
+	"streambend.example/version"
+)
+
+// lead does the jobs that one daemon at a time does: it holds the leases of
+// the services' capacity and orders boxes under them.
+type lead struct {
+	d     *Daemon
+	log   *logrus.Entry
+	loads *rate.Limiter // orders to load weights
+
+	mu     sync.Mutex
+	shards map[string]*shard
+	frozen time.Time // for fault tests: the time that this part believes in
+}
+
+// shard is the capacity of one service.
+type shard struct {
+	lease    *version.Lease
+	since    time.Time // when this daemon took the lease
+	refused  map[version.BoxKind]time.Time
+	backoff  map[version.BoxKind]time.Duration
+	ordered  map[string]orderedBox
+	stopping map[string]time.Time
+	loaded   map[string]bool
+	dear     map[string]time.Time
+	lost     map[string]float64 // zone to boxes lost lately, fading
+	seenGone map[string]bool
+	surplus  time.Time
+	need     forecast
+	last     version.PlaceDecision
+}
+
+// orderedBox is a box that the list does not show yet.
+type orderedBox struct {
+	box platform.Box
+	at  time.Time
+}
+
+func newLead(d *Daemon) *lead {
+	return &lead{
+		d: d, log: d.log.WithField("part", "place"),
+		loads: rate.NewLimiter(rate.Limit(d.Settings.Platform.LoadRate), 4), shards: make(map[string]*shard),
+	}
+}
+
+const (
+	contenders   = 2 // daemons that try for a lease
+	orderedLife  = 30 * time.Second
+	refuseFirst  = 2 * time.Second
+	refuseMost   = 2 * time.Minute
+	placePeriod  = 500 * time.Millisecond
+	orderLongest = 5 * time.Second // an order to an endpoint takes no longer
+	swapAfter    = 10 * time.Minute
+)
+
+// contends reports whether this daemon is one that tries for a shard's lease.
+func (l *lead) contends(name string) bool {
+	mine := xxhash.Sum64String(l.d.Self.Name + "|" + name)
+	ahead := 0
+	for _, m := range l.d.Hub.Mesh.Members() {
+		if m.Name != l.d.Self.Name && xxhash.Sum64String(m.Name+"|"+name) > mine {
+			ahead++
+		}
+	}
+	return ahead < contenders
+}
+
+// step renews the leases held, and tries for those that this daemon contends
+// for.
+func (l *lead) step(time.Time) time.Duration {
+	period := l.d.Settings.Timing.Lease.Duration / 4
+	if l.isFrozen() || l.d.draining.Load() {
+		return period
+	}
+	for key := range l.d.Config().Rows {
+		s := l.shard(key)
+		now := time.Now()
+		l.mu.Lock()
+		_, held := s.lease.Held(now)
+		l.mu.Unlock()
+		if !held && !l.contends(key) {
+			continue
+		}
+		l.stepShard(key, s, held)
+	}
+	return period
+}
+
+func (l *lead) stepShard(key string, s *shard, held bool) {
+	ctx, cancel := context.WithTimeout(l.d.ctx, 2*tableTimeout)
+	defer cancel()
+	now := time.Now()
+	l.mu.Lock()
+	lease := *s.lease
+	l.mu.Unlock()
+	err := lease.Step(ctx, now, l.d.tables.lease)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	*s.lease = lease
+	if err != nil {
+		l.log.Warnf("lease: %s: %v", key, err)
+	}
+	epoch, ok := s.lease.Held(time.Now())
+	if ok && !held {
+		s.since = now
+		l.log.Infof("lease: %s taken, epoch %d", key, epoch)
+	}
+	if !ok && held {
+		l.log.Infof("lease: %s lost", key)
+	}
+}
+
+func (l *lead) isFrozen() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.frozen.IsZero()
+}
+
+// clock returns the time that leases are judged by; the caller holds the lock.
+func (l *lead) clock() time.Time {
+	if !l.frozen.IsZero() {
+		return l.frozen
+	}
+	return time.Now()
+}
+
+// FreezeLeases makes this daemon as blind as a stopped process towards its
+// leases, for fault tests: it neither renews them nor notices that they lapse,
+// and goes on to order under them.
+func (d *Daemon) FreezeLeases(now time.Time, on bool) {
+	d.lead.mu.Lock()
+	defer d.lead.mu.Unlock()
+	d.lead.frozen = time.Time{}
+	if on {
+		d.lead.frozen = now
+	}
+}
+
+func (l *lead) shard(key string) *shard {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.shards[key]
+	if s == nil {
+		term := l.d.Settings.Timing.Lease.Duration
+		s = &shard{
+			lease:   &version.Lease{Shard: key, Self: l.d.instance(), Term: term, Margin: term / 6},
+			refused: make(map[version.BoxKind]time.Time), backoff: make(map[version.BoxKind]time.Duration),
+			ordered: make(map[string]orderedBox), stopping: make(map[string]time.Time), loaded: make(map[string]bool),
+			dear: make(map[string]time.Time), lost: make(map[string]float64), seenGone: make(map[string]bool),
+		}
+		l.shards[key] = s
+	}
+	return s
+}
+
+// release frees all leases, for a planned stop.
+func (l *lead) release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for key, s := range l.shards {
+		ctx, cancel := context.WithTimeout(l.d.ctx, tableTimeout)
+		if err := s.lease.Release(ctx, time.Now(), l.d.tables.lease); err != nil {
+			l.log.Warnf("lease: %s not released: %v", key, err)
+		}
+		cancel()
+	}
+}
+
+// Leases returns the lease rows that this daemon has seen, by service.
+func (l *lead) leases() []leaseStatus {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []leaseStatus
+	for key, s := range l.shards {
+		row := s.lease.Holder()
+		_, mine := s.lease.Held(time.Now())
+		out = append(out, leaseStatus{Service: key, Holder: row.Holder, Epoch: row.Epoch, Mine: mine})
+	}
+	slices.SortFunc(out, func(a, b leaseStatus) int {
+		if a.Service < b.Service {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// placeAll decides and orders for each service whose lease is ours.
+func (l *lead) placeAll(time.Time) time.Duration {
+	cfg := l.d.Config()
+	var prices []platform.Price
+	for key, row := range cfg.Rows {
+		s := l.shard(key)
+		if _, held := l.held(s); !held {
+			continue
+		}
+		if prices == nil {
+			ctx, cancel := context.WithTimeout(l.d.ctx, tableTimeout)
+			prices, _ = l.d.plat.Cloud.Prices(ctx)
+			cancel()
+			if prices == nil {
+				break
+			}
+		}
+		l.place(row.Service, s, prices)
+	}
+	return placePeriod
+}
+
+func (l *lead) held(s *shard) (epoch int64, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return s.lease.Held(l.clock())
+}
+
+// place decides for one service and carries the decision out.
+func (l *lead) place(svc version.Service, s *shard, prices []platform.Price) {
+	now := time.Now()
+	in := l.input(now, svc, s, prices)
+	dec := version.Place(now, in, version.Policy(l.d.Settings.Place))
+	l.mu.Lock()
+	s.last = dec
+	l.mu.Unlock()
+	if len(dec.Starts)+len(dec.Stops) > 0 {
+		l.log.Infof("place: %s wants %d, has %d: %s; starts %d, stops %v",
+			svc.Key(), dec.Want, dec.Present, dec.Reason, len(dec.Starts), dec.Stops)
+	}
+	for _, o := range dec.Starts {
+		l.start(svc, s, o)
+	}
+	for _, id := range dec.Stops {
+		l.retire(now, svc, s, id)
+	}
+	l.loadWeights(svc, s, in.Boxes)
+}
+
+// input gathers what the policy decides from.
+func (l *lead) input(now time.Time, svc version.Service, s *shard, prices []platform.Price) version.PlaceInput {
+	boxes := l.boxesOf(now, svc, s)
+	in := version.PlaceInput{
+		Service: svc, Prices: prices, Boxes: boxes, Refused: s.refused, Loss: lossShare(s.lost, boxes),
+		Swap: swapAfter, Hold: l.d.Settings.Timing.Hold.Duration, Dear: s.dear,
+	}
+	demand := l.d.fleet.demandOf(now, svc.Key())
+	in.Need = s.need.boxes(now, float64(demand)/float64(svc.PerBox))
+	alive := 0
+	for _, b := range boxes {
+		if b.State > platform.BoxLive {
+			continue
+		}
+		alive++
+		if !version.IsDear(in, b) {
+			delete(s.dear, b.ID)
+		} else if _, ok := s.dear[b.ID]; !ok {
+			s.dear[b.ID] = now
+		}
+	}
+	total, _ := version.Target(svc, in.Need)
+	switch {
+	case alive <= total:
+		s.surplus = time.Time{}
+	case s.surplus.IsZero():
+		s.surplus = now
+	}
+	in.Surplus = s.surplus
+	return in
+}
+
+// boxesOf returns the service's boxes: the list, what we ordered and the list
+// does not show yet, and what we know to be leaving.
+func (l *lead) boxesOf(now time.Time, svc version.Service, s *shard) []platform.Box {
+	var out []platform.Box
+	listed := make(map[string]bool)
+	for _, b := range l.d.fleet.snapshot() {
+		if b.Partner != svc.Partner || b.Service != svc.Name {
+			continue
+		}
+		listed[b.ID] = true
+		if _, stopping := s.stopping[b.ID]; stopping || l.d.fleet.leaves(b.ID) {
+			b.State = max(b.State, platform.BoxLeaving)
+		}
+		if b.State >= platform.BoxLeaving && b.Reclaimable && !s.seenGone[b.ID] {
+			s.seenGone[b.ID] = true
+			s.lost[b.Zone]++
+		}
+		out = append(out, b)
+	}
+	for id, o := range s.ordered {
+		if listed[id] || now.Sub(o.at) > orderedLife {
+			delete(s.ordered, id)
+			continue
+		}
+		out = append(out, o.box)
+	}
+	return out
+}
+
+// leaves reports whether a box is known to leave.
+func (f *fleet) leaves(box string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.noticed[box]
+	return ok
+}
+
+// lossShare turns losses into a share of the zone's boxes; the counts fade.
+func lossShare(lost map[string]float64, boxes []platform.Box) map[string]float64 {
+	const fade = 0.9995 // of a placement period
+	have := make(map[string]float64)
+	for _, b := range boxes {
+		have[b.Zone]++
+	}
+	out := make(map[string]float64)
+	for z, n := range lost {
+		lost[z] = n * fade
+		out[z] = n / math.Max(1, have[z])
+	}
+	return out
+}
+
+// maxGenerations bounds how many used-up start tokens are tried in one go.
+const maxGenerations = 16
+
+// start orders one box. The token is the same whoever orders for the same
+// slot, so two daemons that both believe they hold the lease start one box.
+func (l *lead) start(svc version.Service, s *shard, o platform.StartOrder) {
+	kind := version.BoxKind{Zone: o.Zone, Class: o.Class, Reclaimable: o.Reclaimable}
+	for range maxGenerations {
+		if _, held := l.held(s); !held {
+			l.log.Infof("place: %s not ordered, the lease is over", svc.Key())
+			return
+		}
+		ctx, cancel := context.WithTimeout(l.d.ctx, orderLongest)
+		b, err := l.d.plat.Cloud.Start(ctx, o)
+		cancel()
+		if errors.Is(err, platform.ErrRefused) {
+			s.backoff[kind] = min(max(2*s.backoff[kind], refuseFirst), refuseMost)
+			l.mu.Lock()
+			s.refused[kind] = time.Now().Add(s.backoff[kind])
+			l.mu.Unlock()
+			l.log.Infof("place: %s refused in %s (%s, reclaimable %t), again in %s", svc.Key(), kind.Zone, kind.Class, kind.Reclaimable, s.backoff[kind])
+			return
+		}
+		if err != nil {
+			l.log.Warnf("place: %s start %s: %v", svc.Key(), o.Token, err)
+			return
+		}
+		if b.State >= platform.BoxLeaving {
+			o.Token = version.NextGeneration(o.Token)
+			continue
+		}
+		delete(s.backoff, kind)
+		s.ordered[b.ID] = orderedBox{box: b, at: time.Now()}
+		l.log.Infof("place: %s starts %s in %s, %.2f an hour", svc.Key(), b.ID, o.Zone, b.Price)
+		return
+	}
+}
+
+// retire takes a box out of use: it gets no new work, and ends once what runs
+// there has had time to finish.
+func (l *lead) retire(now time.Time, svc version.Service, s *shard, id string) {
+	wait := l.d.Settings.Timing.Drain.Duration
+	s.stopping[id] = now
+	l.d.fleet.found(now, conn.Notice{Box: id, Deadline: now.Add(wait)})
+	time.AfterFunc(wait, func() {
+		epoch, held := l.held(s)
+		if !held {
+			return // the next holder finds the box leaving and ends it
+		}
+		ctx, cancel := context.WithTimeout(l.d.ctx, orderLongest)
+		defer cancel()
+		if err := l.d.plat.Cloud.Stop(ctx, id, epoch); err != nil {
+			l.log.Warnf("place: %s stop %s: %v", svc.Key(), id, err)
+		}
+	})
+}
+
+// loadWeights orders new boxes to load the service's model, no faster than
+// the weight store allows. An engine that does not check fences gets its order
+// only when every order of an earlier holder must be over.
+func (l *lead) loadWeights(svc version.Service, s *shard, boxes []platform.Box) {
+	if svc.Kind != version.Model || svc.Model == "" {
+		return
+	}
+	term := l.d.Settings.Timing.Lease.Duration
+	for _, b := range boxes {
+		if b.State != platform.BoxLive || b.Address == "" || s.loaded[b.ID] {
+			continue
+		}
+		epoch, held := l.held(s)
+		settled := epoch == 1 || time.Since(s.since) > term+orderLongest
+		if !held || !svc.ChecksFence && !settled || !l.loads.Allow() {
+			return
+		}
+		ctx, cancel := context.WithTimeout(l.d.ctx, orderLongest)
+		err := l.d.Server.Client.Order(ctx, b.Address, epoch, svc.Model, "serve")
+		cancel()
+		if err != nil {
+			l.log.Infof("place: %s order to %s: %v", svc.Key(), b.ID, err)
+			continue
+		}
+		s.loaded[b.ID] = true
+	}
+}
+
+// forecast turns the demand seen into boxes needed: up at once, down slowly.
+type forecast struct {
+	level float64
+	at    time.Time
+}
+
+const (
+	demandHeadroom = 1.2
+	demandHalfLife = 2 * time.Minute
+)
+
+func (f *forecast) boxes(now time.Time, seen float64) int {
+	if !f.at.IsZero() {
+		f.level *= math.Pow(0.5, now.Sub(f.at).Seconds()/demandHalfLife.Seconds())
+	}
+	f.at = now
+	f.level = math.Max(f.level, seen)
+	return int(math.Ceil(f.level * demandHeadroom))
+}
--- /dev/null
+++ b/process/status.go
@@ -0,0 +1,123 @@
+// SPDX-License-Identifier: MIT
+
+package process
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"streambend.example/platform"
+	"streambend.example/version"
+)
+
+type leaseStatus struct {
+	Service string `json:"service"`
+	Holder  string `json:"holder"`
+	Epoch   int64  `json:"epoch"`
+	Mine    bool   `json:"mine"`
+}
+
+type endpointStatus struct {
+	Box         string  `json:"box"`
+	Service     string  `json:"service"`
+	Zone        string  `json:"zone"`
+	Class       string  `json:"class"`
+	Reclaimable bool    `json:"reclaimable"`
+	State       string  `json:"state"` // of the box
+	Load        string  `json:"load"`  // class of its load
+	Requests    int     `json:"requests"`
+	Ejected     bool    `json:"ejected"`
+	Hourly      float64 `json:"hourly"`
+}
+
+type serviceStatus struct {
+	Service     string  `json:"service"`
+	Boxes       int     `json:"boxes"`
+	Demand      int     `json:"demand"`
+	Running     int     `json:"running"` // here
+	Queued      int     `json:"queued"`  // here
+	Limit       int     `json:"limit"`   // here
+	Hourly      float64 `json:"hourly"`
+	HourlyBound float64 `json:"hourly_bound"`
+}
+
+type refusedStatus struct {
+	Service string          `json:"service"`
+	Kind    version.BoxKind `json:"kind"`
+	Until   time.Time       `json:"until"`
+}
+
+// Status is what an operator sees of the system through one daemon.
+type Status struct {
+	Daemon    string           `json:"daemon"`
+	Ready     bool             `json:"ready"`
+	Version   int64            `json:"version"`
+	Daemons   []memberVersion  `json:"daemons"`
+	Services  []serviceStatus  `json:"services"`
+	Endpoints []endpointStatus `json:"endpoints"`
+	Leases    []leaseStatus    `json:"leases"`
+	Refused   []refusedStatus  `json:"refused_starts"`
+	Prices    []platform.Price `json:"prices"`
+}
+
+func (o *operators) serveStatus(ctx context.Context, who Operator, _ *http.Request) (any, error) {
+	d, now := o.d, time.Now()
+	cfg := d.Config()
+	st := Status{
+		Daemon: d.Self.Name, Ready: d.ready.Load(), Version: cfg.Version, Daemons: d.versions(ctx),
+		Services: []serviceStatus{}, Endpoints: []endpointStatus{}, Leases: []leaseStatus{}, Refused: []refusedStatus{},
+		Prices: o.market(ctx).Prices,
+	}
+	boxes := make(map[string]platform.Box)
+	for _, b := range d.fleet.snapshot() {
+		boxes[b.ID] = b
+	}
+	for _, row := range cfg.Rows {
+		if row.Service.Partner == who.Partner {
+			st.add(now, d, row.Service, boxes)
+		}
+	}
+	for _, l := range d.lead.leases() {
+		if r, ok := cfg.Rows[l.Service]; ok && r.Service.Partner == who.Partner {
+			st.Leases = append(st.Leases, l)
+			st.Refused = append(st.Refused, d.lead.refusedStarts(now, l.Service)...)
+		}
+	}
+	return st, nil
+}
+
+func (st *Status) add(now time.Time, d *Daemon, s version.Service, boxes map[string]platform.Box) {
+	w := d.Server.Works.Get(&s)
+	running, queued := w.Queue.State()
+	ss := serviceStatus{
+		Service: s.Key(), Demand: d.fleet.demandOf(now, s.Key()), Running: running, Queued: queued,
+		Limit: w.Queue.Limit.Allowed(), HourlyBound: s.HourlyBound,
+	}
+	for _, t := range w.Pool.Targets() {
+		class, load := t.Class(now)
+		b := boxes[t.ID]
+		ss.Boxes++
+		ss.Hourly += b.Price
+		st.Endpoints = append(st.Endpoints, endpointStatus{
+			Box: t.ID, Service: s.Key(), Zone: t.Zone, Class: b.Class, Reclaimable: t.Reclaimable, State: b.State.String(),
+			Load: class.String(), Requests: load, Ejected: t.Ejected(), Hourly: b.Price,
+		})
+	}
+	st.Services = append(st.Services, ss)
+}
+
+// refusedStarts returns the kinds of box that the cloud has refused lately.
+func (l *lead) refusedStarts(now time.Time, key string) []refusedStatus {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var out []refusedStatus
+	if s := l.shards[key]; s != nil {
+		for k, t := range s.refused {
+			if now.Before(t) {
+				out = append(out, refusedStatus{Service: key, Kind: k, Until: t})
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/request/kept.go
@@ -0,0 +1,143 @@
+// SPDX-License-Identifier: MIT
+
+package request
+
+import (
+	"sync"
+	"time"
+
+	"streambend.example/code"
+)
+
+// keptAnswers are the answers that can be joined by their key.
+type keptAnswers struct {
+	keep time.Duration
+	most int
+
+	mu     sync.Mutex
+	byName map[string]*kept
+	done   []*kept // finished, the oldest first
+}
+
+type kept struct {
+	name string
+	body uint64
+	a    *Answer
+	r    *Request
+	at   time.Time // when it finished
+	over bool
+}
+
+func (k *keptAnswers) init(o Options) {
+	k.keep, k.most, k.byName = o.Keep, o.KeepMost, make(map[string]*kept)
+}
+
+// join returns the answer kept under a name, or a fresh one.
+func (k *keptAnswers) join(now time.Time, name string, r *Request) (a *Answer, fresh bool, err error) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.expire(now)
+	body := r.BodyHash()
+	if old := k.byName[name]; old != nil {
+		if old.body != body {
+			return nil, false, code.New(code.KeyReused, "another body was sent with this key")
+		}
+		if !old.over || old.a.reusable() {
+			return old.a, false, nil
+		}
+	}
+	e := &kept{name: name, body: body, a: NewAnswer(r.ID, r.Model.Max, Snapshot{}), r: r}
+	k.byName[name] = e
+	return e.a, true, nil
+}
+
+// reusable reports whether an ended answer serves a repeated call: a refusal
+// does not, for the request has not run.
+func (a *Answer) reusable() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.err == nil || a.err.Code.Ran() != code.NotRun
+}
+
+func (k *keptAnswers) finish(now time.Time, name string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if e := k.byName[name]; e != nil && !e.over {
+		e.over, e.at = true, now
+		k.done = append(k.done, e)
+	}
+	k.expire(now)
+}
+
+func (k *keptAnswers) expire(now time.Time) {
+	n := 0
+	for n < len(k.done) && (len(k.done)-n > k.most || now.Sub(k.done[n].at) > k.keep) {
+		if e := k.done[n]; k.byName[e.name] == e {
+			delete(k.byName, e.name)
+		}
+		n++
+	}
+	k.done = k.done[n:]
+}
+
+// running reports whether the request of a name is under way.
+func (k *keptAnswers) running(name string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	e := k.byName[name]
+	return e != nil && !e.over
+}
+
+// AnswerClaim says, for another daemon, what became of a claim of this one.
+func (s *Server) AnswerClaim(name string) HolderState {
+	switch {
+	case s.Claims.Released(name):
+		return HolderReleased
+	case s.kept.running(name):
+		return HolderRunning
+	default:
+		return HolderUnknown
+	}
+}
+
+// Handover is the state of a keyed answer that a stopping daemon gives to a
+// peer.
+type Handover struct {
+	Name     string   `codec:"n"`
+	Snapshot Snapshot `codec:"s"`
+}
+
+// HandOver ends the keyed answers under way that may be repeated and returns
+// their states, for a peer to keep until their callers come back.
+func (s *Server) HandOver() []Handover {
+	s.kept.mu.Lock()
+	var es []*kept
+	for _, e := range s.kept.byName {
+		if !e.over && !e.r.Unrepeatable {
+			es = append(es, e)
+		}
+	}
+	s.kept.mu.Unlock()
+	var out []Handover
+	for _, e := range es {
+		e.a.settle(code.New(code.HandedOver, "reconnect with the key and the last event id").After(100 * time.Millisecond))
+		out = append(out, Handover{Name: e.name, Snapshot: e.a.Snapshot()})
+	}
+	return out
+}
+
+// load fills an answer from a stored one and ends it.
+func (a *Answer) load(s Snapshot) {
+	a.mu.Lock()
+	a.snap = s
+	a.snap.Done = false
+	a.mu.Unlock()
+	a.settle(nil)
+}
+
+// firstAt returns when the first token came.
+func (a *Answer) firstAt() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.first
+}
--- /dev/null
+++ b/request/limit.go
@@ -0,0 +1,182 @@
+// SPDX-License-Identifier: MIT
+
+package request
+
+import (
+	"math"
+	"sync"
+	"time"
+)
+
+// Limiter finds how many requests of a service this daemon may have at the
+// endpoints at once. It grows while first tokens come in time and shrinks
+// when they do not, so that the daemons, without a word between them, come to
+// shares of what the endpoints carry and the waiting happens in the fair
+// queues.
+type Limiter struct {
+	mu      sync.Mutex
+	limit   float64
+	most    float64
+	target  time.Duration
+	base    time.Duration // a first token's time on an idle endpoint
+	lastCut time.Time
+}
+
+const (
+	limitLeast   = 2
+	limitShrink  = 0.85
+	limitGrowth  = 1.0 // per limit answers in time
+	cutSpacing   = 500 * time.Millisecond
+	targetShare  = 0.5 // of the target that waiting at an endpoint may take
+	baseMultiple = 3   // of the base that waiting may take where that is more
+)
+
+// NewLimiter returns a limiter that starts at the given limit.
+func NewLimiter(start int, target time.Duration) *Limiter {
+	return &Limiter{limit: float64(max(start, limitLeast)), most: math.Inf(1), target: target}
+}
+
+// SetMost bounds the limit by what all endpoints together run.
+func (l *Limiter) SetMost(most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most = float64(max(most, limitLeast))
+	l.limit = math.Min(l.limit, l.most)
+}
+
+// Allowed returns how many requests may be at the endpoints.
+func (l *Limiter) Allowed() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return int(l.limit)
+}
+
+// Sample takes in how long an endpoint took to begin an answer, beyond what
+// computing its prompt takes, while running requests were there.
+func (l *Limiter) Sample(now time.Time, took time.Duration, running int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.base == 0 || took < l.base {
+		l.base = took
+	} else {
+		l.base += (took - l.base) / 256
+	}
+	bound := max(time.Duration(targetShare*float64(l.target)), baseMultiple*l.base)
+	if took <= bound {
+		if float64(running) >= 0.8*l.limit {
+			l.limit = math.Min(l.most, l.limit+limitGrowth/l.limit)
+		}
+		return
+	}
+	l.shrink(now)
+}
+
+// Overload takes in that an endpoint refused work.
+func (l *Limiter) Overload(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shrink(now)
+}
+
+func (l *Limiter) shrink(now time.Time) {
+	if now.Sub(l.lastCut) < cutSpacing {
+		return
+	}
+	l.lastCut = now
+	l.limit = math.Max(limitLeast, l.limit*limitShrink)
+}
+
+// Budget bounds retries to a share of the successes, so that a wave of
+// failures does not multiply the load.
+type Budget struct {
+	mu     sync.Mutex
+	tokens float64
+}
+
+const (
+	budgetShare = 0.2
+	budgetMost  = 100
+	budgetStart = 20
+)
+
+// NewBudget returns a budget with something to begin with.
+func NewBudget() *Budget { return &Budget{tokens: budgetStart} }
+
+// Earn adds the share of one success.
+func (b *Budget) Earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = math.Min(budgetMost, b.tokens+budgetShare)
+}
+
+// Left reports whether a retry is allowed.
+func (b *Budget) Left() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.tokens >= 1
+}
+
+// Spend takes one retry.
+func (b *Budget) Spend() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = math.Max(0, b.tokens-1)
+}
+
+// Speed keeps measured speeds of a service as moving averages.
+type Speed struct {
+	mu      sync.Mutex
+	token   float64 // seconds between two tokens
+	first   float64 // seconds to the first token beyond the prompt's
+	prefill float64 // prompt tokens a second
+	whole   float64 // seconds of a plain call
+}
+
+const speedWeight = 0.05
+
+func blend(avg *float64, v float64) {
+	if *avg == 0 {
+		*avg = v
+		return
+	}
+	*avg += speedWeight * (v - *avg)
+}
+
+// Answered takes a whole answer in.
+func (s *Speed) Answered(first, total time.Duration, tokens, fresh int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if tokens == 0 {
+		blend(&s.whole, total.Seconds())
+		return
+	}
+	if tokens > 1 {
+		blend(&s.token, (total-first).Seconds()/float64(tokens-1))
+	}
+	if fresh >= 64 && first > 0 {
+		blend(&s.prefill, float64(fresh)/first.Seconds())
+	} else {
+		blend(&s.first, first.Seconds())
+	}
+}
+
+// Expect returns how long an answer of so many tokens takes at an endpoint.
+func (s *Speed) Expect(tokens, prompt int) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if tokens == 0 {
+		return time.Duration(s.whole * float64(time.Second))
+	}
+	sec := s.first + float64(tokens)*s.token
+	if s.prefill > 0 {
+		sec += 0.5 * float64(prompt) / s.prefill
+	}
+	return time.Duration(sec * float64(time.Second))
+}
+
+// Prefill returns the measured prompt tokens a second, or 0.
+func (s *Speed) Prefill() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.prefill
+}
--- /dev/null
+++ b/request/pool.go
@@ -0,0 +1,211 @@
+// SPDX-License-Identifier: MIT
+
+package request
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"streambend.example/platform"
+)
+
+// Pool is the endpoints of one service. Routing reads a list that is replaced
+// whole; everything else is under the lock.
+type Pool struct {
+	Service string // partner/name
+	Zone    string // of this daemon
+
+	list atomic.Pointer[poolList]
+
+	mu    sync.Mutex
+	byID  map[string]*Target
+	gone  map[string]bool // boxes that have ended; the list may still show them
+	batch int
+
+	hits hitMemory
+}
+
+// poolList is what routing reads.
+type poolList struct {
+	all  []*Target
+	zone []*Target // those of this daemon's zone
+}
+
+// NewPool returns an empty pool; batch is how many requests an endpoint is
+// thought to run together until it says so itself.
+func NewPool(service, zone string, batch int) *Pool {
+	p := &Pool{Service: service, Zone: zone, byID: make(map[string]*Target), gone: make(map[string]bool), batch: batch}
+	p.list.Store(&poolList{})
+	p.hits.init()
+	return p
+}
+
+// Add takes an endpoint in and returns its view. An endpoint known already,
+// or known to be gone, is not added again.
+func (p *Pool) Add(e Endpoint) *Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if t, ok := p.byID[e.ID]; ok {
+		return t
+	}
+	if p.gone[e.ID] {
+		return nil
+	}
+	t := newTarget(e, p.batch)
+	p.byID[e.ID] = t
+	p.rebuild()
+	return t
+}
+
+// Remove drops an endpoint for good.
+func (p *Pool) Remove(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gone[id] = true
+	if _, ok := p.byID[id]; ok {
+		delete(p.byID, id)
+		p.rebuild()
+	}
+}
+
+func (p *Pool) rebuild() {
+	l := &poolList{}
+	for _, t := range p.byID {
+		l.all = append(l.all, t)
+	}
+	sort.Slice(l.all, func(i, j int) bool { return l.all[i].ID < l.all[j].ID })
+	for _, t := range l.all {
+		if t.Zone == p.Zone {
+			l.zone = append(l.zone, t)
+		}
+	}
+	p.list.Store(l)
+}
+
+// Get returns the view of an endpoint, or nil.
+func (p *Pool) Get(id string) *Target {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.byID[id]
+}
+
+// Targets returns all endpoints in order of their names.
+func (p *Pool) Targets() []*Target { return p.list.Load().all }
+
+// Sync brings the pool in line with the box list and returns the endpoints
+// that the list shows as leaving and that were not known to be.
+func (p *Pool) Sync(boxes []platform.Box) (leaving []platform.Box) {
+	listed := make(map[string]bool)
+	for _, b := range boxes {
+		if b.Partner+"/"+b.Service != p.Service {
+			continue
+		}
+		listed[b.ID] = true
+		switch {
+		case b.State == platform.BoxGone:
+			p.Remove(b.ID)
+		case b.Address != "":
+			t := p.Add(Endpoint{ID: b.ID, Service: p.Service, Zone: b.Zone, Address: b.Address, Reclaimable: b.Reclaimable})
+			if t == nil || b.State != platform.BoxLeaving {
+				continue
+			}
+			if _, known := t.Leaving(); !known {
+				leaving = append(leaving, b)
+			}
+		}
+	}
+	for _, t := range p.Targets() {
+		if !listed[t.ID] {
+			p.Remove(t.ID)
+		}
+	}
+	return leaving
+}
+
+// Tick lets endpoints back in whose ejection is over, and brings the load
+// estimates up to date.
+func (p *Pool) Tick(now time.Time) {
+	for _, t := range p.Targets() {
+		t.Return(now)
+		t.Class(now)
+	}
+}
+
+// Capacity returns how many requests the endpoints that take work run
+// together, and how many are thought to be there.
+func (p *Pool) Capacity() (batch, load int) {
+	for _, t := range p.Targets() {
+		if t.out.Load() {
+			continue
+		}
+		t.mu.Lock()
+		batch += t.batch
+		t.mu.Unlock()
+		load += int(t.load.Load())
+	}
+	return batch, load
+}
+
+// hitKey is a prefix on an endpoint.
+type hitKey struct {
+	prefix uint64
+	target uint64
+}
+
+// hitMemory remembers which share of a prefix an endpoint last had cached.
+// What it says is an expectation; no promise rests on it.
+type hitMemory struct {
+	mu  sync.Mutex
+	lru *simplelru.LRU[hitKey, float32]
+}
+
+// hitsKept bounds what is remembered: 40 bytes each or so.
+const hitsKept = 16384
+
+func (h *hitMemory) init() { h.lru, _ = simplelru.NewLRU[hitKey, float32](hitsKept, nil) }
+
+func (h *hitMemory) set(k hitKey, share float32) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.lru.Add(k, share)
+}
+
+func (h *hitMemory) get(k hitKey) (float32, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.lru.Get(k)
+}
+
+// scale multiplies what is remembered of a prefix, or of all prefixes if it
+// is 0, on an endpoint.
+func (h *hitMemory) scale(k hitKey, by float32) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if k.prefix != 0 {
+		if s, ok := h.lru.Peek(k); ok {
+			h.lru.Add(k, s*by)
+		}
+		return
+	}
+	for _, key := range h.lru.Keys() {
+		if key.target == k.target {
+			s, _ := h.lru.Peek(key)
+			h.lru.Add(key, s*by)
+		}
+	}
+}
+
+// Hit records which share of a prefix an answer showed to be cached.
+func (p *Pool) Hit(t *Target, prefix uint64, share float64) {
+	p.hits.set(hitKey{prefix, t.hash}, float32(share))
+}
+
+// Evicted takes in a cache event.
+func (p *Pool) Evicted(t *Target, prefix uint64) { p.hits.scale(hitKey{prefix, t.hash}, 0.7) }
+
+// Gap takes in that cache events of an endpoint were lost.
+func (p *Pool) Gap(t *Target) { p.hits.scale(hitKey{0, t.hash}, 0.7) }
--- /dev/null
+++ b/request/route.go
@@ -0,0 +1,285 @@
+// SPDX-License-Identifier: MIT
+
+package request
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"streambend.example/version"
+)
+
+// RoutePolicy names a way of choosing an endpoint.
+type RoutePolicy string
+
+// The routing policies: ours and the baselines it is measured against.
+const (
+	RouteOurs   RoutePolicy = "ours"
+	RouteRandom RoutePolicy = "random"
+	RouteLeast  RoutePolicy = "least-loaded"
+)
+
+// Need is what a request asks of routing.
+type Need struct {
+	Prefix      uint64 // names the prompt's head; 0 for none
+	Prompt      int    // tokens of the prompt, about
+	Plain       bool
+	Avoid       *Target // the endpoint that just failed
+	Settled     bool    // prefer boxes that are not reclaimable
+	Weigh       version.Weight
+	Policy      RoutePolicy
+	PrefillRate float64       // prompt tokens a second, measured
+	Service     time.Duration // time a request spends at an endpoint, measured
+}
+
+// Choice is the endpoint chosen and why.
+type Choice struct {
+	Target *Target
+	Hit    float64 // share of the prompt expected in its cache
+	Load   int
+	Bound  int // load bound in force
+	Why    string
+	Others [candidateCount]Candidate
+}
+
+// Candidate is an endpoint that was considered.
+type Candidate struct {
+	Target *Target
+	Score  float64 // expected seconds
+}
+
+const (
+	candidateCount = 4    // endpoints looked at in rendezvous order
+	loadSlack      = 1.15 // load bound as a multiple of the mean
+	zoneSeconds    = 0.002
+	recomputeTimes = 3 // by how much recomputed tokens count more for Podwave
+)
+
+// firstGuess is the expected hit at each place of the rendezvous order while
+// nothing is known of a prefix there.
+var firstGuess = [candidateCount]float64{0.5, 0.1, 0, 0}
+
+// mix gives the rendezvous weight of a target for a prefix.
+func mix(a, b uint64) uint64 {
+	x := (a ^ b) * 0x9e3779b97f4a7c15
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	return x ^ x>>32
+}
+
+// Route chooses an endpoint, or returns false if none takes work.
+func (p *Pool) Route(now time.Time, n Need) (Choice, bool) {
+	l := p.list.Load()
+	switch {
+	case len(l.all) == 0:
+		return Choice{}, false
+	case n.Policy == RouteRandom:
+		return chooseRandom(l.all, n)
+	case n.Policy == RouteLeast:
+		return chooseLeast(l.all, n, "least loaded")
+	case n.Plain || n.Prefix == 0:
+		return p.chooseTwo(l, n)
+	default:
+		return p.choosePrefix(l, n)
+	}
+}
+
+// open reports whether a target takes work of this need.
+func (t *Target) open(n Need) bool { return !t.out.Load() && t != n.Avoid }
+
+// share is a target's load per place, with its ramp after an ejection.
+func (t *Target) weighted() float64 {
+	r := float64(math.Float32frombits(t.ramp.Load()))
+	return float64(t.load.Load()) / math.Max(r, rampStart)
+}
+
+func chooseRandom(all []*Target, n Need) (Choice, bool) {
+	start := rand.IntN(len(all))
+	for i := range all {
+		if t := all[(start+i)%len(all)]; t.open(n) {
+			return Choice{Target: t, Load: int(t.load.Load()), Why: "random"}, true
+		}
+	}
+	return Choice{}, false
+}
+
+func chooseLeast(all []*Target, n Need, why string) (Choice, bool) {
+	var best *Target
+	start := rand.IntN(len(all))
+	for i := range all {
+		t := all[(start+i)%len(all)]
+		if t.open(n) && (best == nil || t.weighted() < best.weighted()) {
+			best = t
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	return Choice{Target: best, Load: int(best.load.Load()), Why: why}, true
+}
+
+// chooseTwo takes the less loaded of two random endpoints of the zone, and
+// spills to all zones when both are busier than the mean allows.
+func (p *Pool) chooseTwo(l *poolList, n Need) (Choice, bool) {
+	if n.Settled {
+		if c, ok := chooseSettled(l, n); ok {
+			return c, true
+		}
+	}
+	bound := loadBound(l, n)
+	if t := lighter(l.zone, n); t != nil && int(t.load.Load()) <= bound {
+		return Choice{Target: t, Load: int(t.load.Load()), Bound: bound, Why: "two choices in the zone"}, true
+	}
+	if t := lighter(l.all, n); t != nil && int(t.load.Load()) <= bound {
+		return Choice{Target: t, Load: int(t.load.Load()), Bound: bound, Why: "two choices in all zones"}, true
+	}
+	c, ok := chooseLeast(l.all, n, "least loaded")
+	c.Bound = bound
+	return c, ok
+}
+
+// chooseSettled takes the least loaded box that cannot be reclaimed, if one
+// is below the bound.
+func chooseSettled(l *poolList, n Need) (Choice, bool) {
+	bound := loadBound(l, n)
+	var best *Target
+	for _, t := range l.all {
+		if !t.Reclaimable && t.open(n) && int(t.load.Load()) <= bound && (best == nil || t.weighted() < best.weighted()) {
+			best = t
+		}
+	}
+	if best == nil {
+		return Choice{}, false
+	}
+	return Choice{Target: best, Load: int(best.load.Load()), Bound: bound, Why: "not reclaimable"}, true
+}
+
+// lighter picks two endpoints at random and returns the less loaded.
+func lighter(ts []*Target, n Need) *Target {
+	if len(ts) == 0 {
+		return nil
+	}
+	a, b := ts[rand.IntN(len(ts))], ts[rand.IntN(len(ts))]
+	switch {
+	case !a.open(n) && !b.open(n):
+		return nil
+	case !a.open(n):
+		return b
+	case !b.open(n) || a.weighted() <= b.weighted():
+		return a
+	default:
+		return b
+	}
+}
+
+// loadBound is the load that no endpoint may pass while another is below it.
+func loadBound(l *poolList, n Need) int {
+	sum, count := 0, 0
+	for _, t := range l.all {
+		if t.open(n) {
+			sum += int(t.load.Load())
+			count++
+		}
+	}
+	if count == 0 {
+		return 0
+	}
+	return int(math.Ceil(loadSlack * float64(sum+1) / float64(count)))
+}
+
+// choosePrefix goes through the rendezvous order of the prompt's head. Every
+// daemon computes the same order, so the same prefix finds the same caches
+// without a word between daemons.
+func (p *Pool) choosePrefix(l *poolList, n Need) (Choice, bool) {
+	top, count, bound := p.rank(l, n)
+	if count == 0 {
+		return Choice{}, false
+	}
+	c := Choice{Bound: bound}
+	best := -1
+	for i := range count {
+		t := top[i]
+		hit := p.expectHit(t, n.Prefix, i)
+		c.Others[i] = Candidate{Target: t, Score: p.score(t, n, hit)}
+		r := math.Float32frombits(t.ramp.Load())
+		if float64(t.load.Load()) > float64(bound)*float64(r) {
+			continue
+		}
+		if best < 0 || c.Others[i].Score < c.Others[best].Score {
+			best, c.Hit = i, hit
+		}
+	}
+	if best < 0 {
+		least, ok := chooseLeast(l.all, n, "all of the order over the bound")
+		least.Others, least.Bound = c.Others, bound
+		return least, ok
+	}
+	c.Target = top[best]
+	c.Load = int(c.Target.load.Load())
+	c.Why = "prefix order"
+	if best > 0 {
+		c.Why = "lower score further in the order"
+	}
+	return c, true
+}
+
+// rank returns the first endpoints in rendezvous order and the load bound.
+func (p *Pool) rank(l *poolList, n Need) (top [candidateCount]*Target, count, bound int) {
+	var weights [candidateCount]uint64
+	sum, open := 0, 0
+	for _, t := range l.all {
+		if !t.open(n) {
+			continue
+		}
+		open++
+		sum += int(t.load.Load())
+		w := mix(n.Prefix, t.hash)
+		if count == candidateCount && w <= weights[count-1] {
+			continue
+		}
+		if count < candidateCount {
+			count++
+		}
+		i := count - 1
+		for ; i > 0 && weights[i-1] < w; i-- {
+			weights[i], top[i] = weights[i-1], top[i-1]
+		}
+		weights[i], top[i] = w, t
+	}
+	if open > 0 {
+		bound = int(math.Ceil(loadSlack * float64(sum+1) / float64(open)))
+	}
+	return top, count, bound
+}
+
+// expectHit returns the share of the prompt expected in a target's cache.
+func (p *Pool) expectHit(t *Target, prefix uint64, place int) float64 {
+	if s, ok := p.hits.get(hitKey{prefix, t.hash}); ok {
+		return float64(s)
+	}
+	return firstGuess[place]
+}
+
+// score is the expected wait and recompute time in seconds.
+func (p *Pool) score(t *Target, n Need, hit float64) float64 {
+	weight := 1.0
+	if n.Weigh == version.WeighRecompute {
+		weight = recomputeTimes
+	}
+	s := 0.0
+	if n.PrefillRate > 0 {
+		s = weight * (1 - hit) * float64(n.Prompt) / n.PrefillRate
+	}
+	if t.Zone != p.Zone {
+		s += zoneSeconds
+	}
+	t.mu.Lock()
+	batch := t.batch
+	t.mu.Unlock()
+	over := float64(t.load.Load()) - float64(batch) + 1
+	if over > 0 {
+		s += over / float64(batch) * n.Service.Seconds()
+	}
+	return s
+}
--- /dev/null
+++ b/request/server.go
@@ -0,0 +1,336 @@
+// SPDX-License-Identifier: MIT
+
+package request
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"streambend.example/code"
+	"streambend.example/conn"
+)
+
+// HolderState is what a daemon says of a request that it may have claimed.
+type HolderState int
+
+// The answers of a holder.
+const (
+	HolderUnknown HolderState = iota // it cannot be reached, or knows nothing
+	HolderRunning
+	HolderReleased // it gave the claim up and sent nothing
+)
+
+// Peers asks other daemons.
+type Peers interface {
+	// AskClaim asks the holder of a claim what became of it.
+	AskClaim(ctx context.Context, holder, name string) HolderState
+	// TakeOver asks for the state of a keyed answer that a daemon handed
+	// over; false if no daemon has it.
+	TakeOver(ctx context.Context, name string) (Snapshot, bool)
+}
+
+// Server runs requests.
+type Server struct {
+	Works  *Works
+	Client *conn.Client
+	Claims *Claims
+	Peers  Peers
+	Count  Counters
+
+	opts  Options
+	log   *logrus.Entry
+	kept  keptAnswers
+	wg    sync.WaitGroup
+	alive context.Context
+	kill  context.CancelFunc
+}
+
+// Counters count what became of requests.
+type Counters struct {
+	Accepted atomic.Int64
+	Complete atomic.Int64
+	Late     atomic.Int64
+	Refused  atomic.Int64
+	Unknown  atomic.Int64
+	Moves    atomic.Int64
+	Exports  atomic.Int64
+	Retries  atomic.Int64
+}
+
+// NewServer returns a server whose requests end at the latest with Kill.
+func NewServer(o Options, client *conn.Client, claims *Claims, peers Peers, log *logrus.Logger) *Server {
+	s := &Server{Works: newWorks(o), Client: client, Claims: claims, Peers: peers, opts: o, log: log.WithField("part", "request")}
+	s.alive, s.kill = context.WithCancel(context.Background())
+	s.kept.init(o)
+	return s
+}
+
+// Kill ends all requests at once.
+func (s *Server) Kill() { s.kill() }
+
+// Wait returns once no request is under way, or when ctx ends.
+func (s *Server) Wait(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Begin starts a request, or joins the one under way with the same key, and
+// returns its answer. The request ends with ctx, unless it has a key: then it
+// goes on for a while so that its caller can come back.
+func (s *Server) Begin(ctx context.Context, now time.Time, r *Request) (*Answer, error) {
+	if r.Key == "" {
+		a := NewAnswer(r.ID, r.Model.Max, Snapshot{})
+		s.start(ctx, r, a, nil)
+		return a, nil
+	}
+	name := r.ClaimName()
+	a, fresh, err := s.kept.join(now, name, r)
+	if err != nil || !fresh {
+		return a, err
+	}
+	if r.After > 0 && !r.Unrepeatable {
+		if snap, ok := s.Peers.TakeOver(ctx, name); ok {
+			s.log.Infof("resume: %s goes on after %d tokens handed over", r.ID, len(snap.Tokens))
+			a.mu.Lock()
+			a.snap = snap
+			a.snap.Done = false
+			a.mu.Unlock()
+		}
+	}
+	s.start(s.alive, r, a, func() { s.kept.finish(time.Now(), name) })
+	return a, nil
+}
+
+// start runs a request in its own goroutine.
+func (s *Server) start(ctx context.Context, r *Request, a *Answer, end func()) {
+	ctx, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(s.alive, cancel)
+	s.wg.Add(1)
+	go func() {
+		defer s.wg.Done()
+		defer cancel()
+		defer stop()
+		run := &run{Server: s, r: r, a: a, life: NewLife(), work: s.Works.Get(&r.Service)}
+		if r.Key != "" {
+			go s.watchReaders(ctx, cancel, r, a)
+		}
+		run.serve(ctx)
+		if end != nil {
+			end()
+		}
+	}()
+}
+
+// watchReaders ends a keyed answer that nobody has followed for a while. An
+// unrepeatable one goes on, since its answer must be stored.
+func (s *Server) watchReaders(ctx context.Context, cancel context.CancelFunc, r *Request, a *Answer) {
+	if r.Unrepeatable {
+		return
+	}
+	tick := time.NewTicker(s.opts.Detached / 4)
+	defer tick.Stop()
+	left := 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		left++
+		if a.Readers() > 0 {
+			left = 0
+		}
+		if left >= 4 {
+			cancel()
+			return
+		}
+	}
+}
+
+// run is one request under way.
+type run struct {
+	*Server
+	r    *Request
+	a    *Answer
+	life *Life
+	work *Work
+
+	claim    Claim
+	claimed  bool
+	ticket   Ticket
+	started  time.Time // of the last attempt that was sent
+	attempts int
+	avoid    *Target
+	prefer   *Target
+	restart  bool
+}
+
+// serve takes a request through its life.
+func (r *run) serve(ctx context.Context) {
+	if err := r.admit(ctx); err != nil {
+		r.refuse(err)
+		return
+	}
+	defer func() { r.work.Queue.Leave(time.Now(), &r.ticket) }()
+	r.life.on(eventAccept)
+	r.Count.Accepted.Add(1)
+	if done := r.takeClaim(ctx); done {
+		return
+	}
+	if r.a.full() {
+		r.complete(time.Now()) // all of it was handed over
+		return
+	}
+	for {
+		choice, err := r.route(ctx)
+		if err != nil {
+			r.end(ctx, err)
+			return
+		}
+		ending, failure := r.attempt(ctx, choice)
+		if r.settle(ctx, choice.Target, ending, failure) {
+			return
+		}
+	}
+}
+
+// admit waits for a place among the service's requests.
+func (r *run) admit(ctx context.Context) *code.Error {
+	now := time.Now()
+	r.life.on(eventQueue)
+	r.ticket = Ticket{
+		Team: r.r.Partner + "/" + r.r.Team, Weight: r.r.Weight, Interactive: r.r.Route.Interactive,
+		Priority: r.r.Route.Priority, Deadline: r.r.Deadline,
+		Expect: r.work.Speed.Expect(r.r.Model.Max, r.r.PromptTokens()),
+	}
+	if r.opts.NoFairQueue {
+		r.ticket.Team, r.ticket.Interactive, r.ticket.Priority = "", false, 0
+	}
+	if err := r.work.Queue.Enter(now, &r.ticket); err != nil {
+		return err
+	}
+	timer := time.NewTimer(r.r.Deadline.Sub(now) - r.ticket.Expect)
+	defer timer.Stop()
+	select {
+	case <-r.ticket.Ready():
+		return r.ticket.Err()
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	r.work.Queue.Leave(time.Now(), &r.ticket)
+	if err := r.ticket.Err(); err != nil {
+		return err
+	}
+	return code.New(code.DeadlineTooNear, "waited until too late").After(r.ticket.Expect)
+}
+
+// takeClaim claims an unrepeatable request that has a key. It reports whether
+// the request ends here.
+func (r *run) takeClaim(ctx context.Context) bool {
+	if !r.r.Unrepeatable || r.r.Key == "" {
+		return false
+	}
+	name, body := r.r.ClaimName(), r.r.BodyHash()
+	c := r.Claims.Take(ctx, time.Now(), name, body)
+	if c.State == ClaimHeld && c.Row.Body == body {
+		state := HolderReleased
+		if c.Row.Holder != r.Claims.Self {
+			state = r.Peers.AskClaim(ctx, c.Row.Holder, name)
+		} else if !r.Claims.Released(name) {
+			state = HolderUnknown
+		}
+		r.log.Infof("claim: %s held by %s, which says %d", r.r.ID, c.Row.Holder, state)
+		switch state {
+		case HolderReleased:
+			c = r.Claims.Over(ctx, time.Now(), c)
+		case HolderRunning:
+			r.refuse(code.New(code.StillRunning, "held by another daemon").After(time.Second))
+			return true
+		default:
+			r.end(ctx, code.New(code.UnknownOutcome, "the daemon that held it cannot say"))
+			return true
+		}
+	}
+	return r.judgeClaim(ctx, c, body)
+}
+
+func (r *run) judgeClaim(ctx context.Context, c Claim, body uint64) bool {
+	switch {
+	case c.State == ClaimDown:
+		r.refuse(code.New(code.ClaimStore, "the table does not answer").After(2 * time.Second))
+	case c.State == ClaimTaken:
+		r.claim, r.claimed = c, true
+		r.life.on(eventClaim)
+		return false
+	case c.Row.Body != body:
+		r.refuse(code.New(code.KeyReused, "another body was sent with this key"))
+	case c.State == ClaimAnswered && c.Row.Answer != nil:
+		r.a.load(*c.Row.Answer)
+		r.Count.Complete.Add(1)
+		r.log.Infof("claim: %s answered from the stored answer", r.r.ID)
+	case c.State == ClaimAnswered:
+		r.end(ctx, code.New(code.UnknownOutcome, "it has run; its answer was too large to keep"))
+	default:
+		r.end(ctx, code.New(code.UnknownOutcome, "another call took the claim meanwhile"))
+	}
+	return true
+}
+
+// refuse ends the request as not run.
+func (r *run) refuse(err *code.Error) {
+	refused := !r.life.Tainted && r.life.on(eventRefuse)
+	if refused {
+		r.Count.Refused.Add(1)
+	} else {
+		// Something has been sent: "not run" would be a lie.
+		err = code.New(code.UnknownOutcome, "%s", err.Message)
+		r.life.on(eventLose)
+		r.Count.Unknown.Add(1)
+	}
+	r.log.Infof("refuse: %s %s/%s %s", r.r.ID, r.r.Partner, r.r.Route.Name, err)
+	r.a.settle(err)
+	if refused && r.claimed {
+		r.Claims.Release(context.WithoutCancel(r.alive), r.claim)
+	}
+}
+
+// end ends the request with an error: as not run where that is certain.
+func (r *run) end(ctx context.Context, err *code.Error) {
+	if err.Code.Ran() == code.NotRun && !r.life.Tainted {
+		r.refuse(err)
+		return
+	}
+	if err.Code.Ran() == code.NotRun {
+		err = code.New(code.NotWhole, "%s", err.Message)
+	}
+	if r.r.Unrepeatable && err.Code != code.EndpointAnswer {
+		err = code.New(code.UnknownOutcome, "%s", err.Message)
+	}
+	r.life.on(eventLose)
+	r.Count.Unknown.Add(1)
+	r.log.Warnf("lose: %s %s/%s %s after %d attempts", r.r.ID, r.r.Partner, r.r.Route.Name, err, r.attempts)
+	r.a.settle(err)
+}
+
+// giveUpAt is when a request is ended although it runs.
+func (r *run) giveUpAt() time.Time { return r.r.Deadline.Add(r.opts.Grace) }
+
+// newAttempt returns the request id of the next attempt.
+func (r *run) newAttempt() string {
+	r.attempts++
+	return r.r.ID + "." + uuid.NewString()[:8]
+}
--- /dev/null
+++ b/request/target.go
@@ -0,0 +1,268 @@
+// SPDX-License-Identifier: MIT
+
+package request
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Class is how loaded an endpoint is, as daemons tell each other.
+type Class int
+
+// The load classes.
+const (
+	Unknown Class = iota
+	Idle
+	Normal
+	Busy
+	Full
+	Leaving
+)
+
+// String returns the class's name.
+func (c Class) String() string {
+	return [...]string{"unknown", "idle", "normal", "busy", "full", "leaving"}[c]
+}
+
+// classBounds are the shares of a batch at which Normal, Busy and Full begin.
+var classBounds = [...]float64{0.25, 0.75, 1}
+
+// classSlack is by how much a load must pass a bound before the class falls.
+const classSlack = 0.1
+
+// ClassOf returns the class of a load. It falls only once the load is clearly
+// below a bound, so that a load near one does not make the class swing.
+func ClassOf(before Class, load, batch int) Class {
+	if batch <= 0 {
+		return Unknown
+	}
+	share := float64(load) / float64(batch)
+	c := Idle
+	for i, b := range classBounds {
+		if before > Idle+Class(i) && before <= Full {
+			b -= classSlack
+		}
+		if share >= b {
+			c = Normal + Class(i)
+		}
+	}
+	return c
+}
+
+// assumedShare is the load that a class stands for when no number is known.
+var assumedShare = [...]float64{0.5, 0.1, 0.5, 0.9, 1.3, 1}
+
+// Endpoint is what is known of an endpoint from the box list.
+type Endpoint struct {
+	ID          string // the box
+	Service     string // partner/name
+	Zone        string
+	Address     string // host:port
+	Reclaimable bool
+}
+
+// Target is an endpoint as this daemon sees it.
+type Target struct {
+	Endpoint
+	hash uint64
+	mine atomic.Int32  // requests of this daemon in flight
+	load atomic.Int32  // estimate of all requests in flight there
+	out  atomic.Bool   // leaving or ejected
+	ramp atomic.Uint32 // share of its load bound it may take, as float bits
+
+	mu       sync.Mutex
+	class    Class
+	batch    int
+	reported int
+	at       time.Time // of the report
+	since    int       // requests sent since the report
+	deadline time.Time // of a leaving box
+	left     chan struct{}
+	fails    int
+	until    time.Time // ejected until
+	ejected  time.Duration
+	flights  map[*Flight]struct{}
+}
+
+// reportLife is how long a load report is believed. Older ones fade towards
+// the load assumed of an unknown endpoint, never towards idle.
+const reportLife = 5 * time.Second
+
+// newTarget returns the view of an endpoint of which nothing is known yet.
+func newTarget(e Endpoint, batch int) *Target {
+	t := &Target{
+		Endpoint: e, hash: xxhash.Sum64String(e.ID), batch: max(batch, 1),
+		left: make(chan struct{}), flights: make(map[*Flight]struct{}),
+	}
+	t.ramp.Store(math.Float32bits(1))
+	return t
+}
+
+// Report takes a load report in.
+func (t *Target) Report(now time.Time, load, batch int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if batch > 0 {
+		t.batch = batch
+	}
+	t.reported, t.at, t.since = load, now, 0
+	if t.class != Leaving {
+		t.class = ClassOf(t.class, load, t.batch)
+	}
+	t.estimate(now)
+}
+
+// Hear takes in the class that another daemon has told of. It does not
+// replace a number that is still fresh.
+func (t *Target) Hear(now time.Time, c Class) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.class == Leaving || c == Leaving || now.Sub(t.at) < reportLife/2 {
+		return
+	}
+	t.class = c
+	t.reported, t.at, t.since = int(assumedShare[c]*float64(t.batch)), now, 0
+	t.estimate(now)
+}
+
+// Class returns the class and the estimated load at now.
+func (t *Target) Class(now time.Time) (Class, int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.estimate(now)
+	if now.Sub(t.at) > 2*reportLife && t.class != Leaving {
+		return Unknown, int(t.load.Load())
+	}
+	return t.class, int(t.load.Load())
+}
+
+// estimate brings load up to date; the caller holds the lock.
+func (t *Target) estimate(now time.Time) {
+	est := float64(t.reported + t.since)
+	if age := now.Sub(t.at); age > reportLife {
+		w := math.Min(1, float64(age-reportLife)/float64(reportLife))
+		unknown := assumedShare[Unknown] * float64(t.batch)
+		est = (1-w)*est + w*math.Max(est, unknown)
+	}
+	t.load.Store(max(int32(est), t.mine.Load()))
+}
+
+// Begin counts a request that this daemon sends, and takes in its Flight.
+func (t *Target) Begin(f *Flight) {
+	t.mine.Add(1)
+	t.load.Add(1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.since++
+	if f != nil {
+		t.flights[f] = struct{}{}
+	}
+}
+
+// End takes back what Begin has counted.
+func (t *Target) End(f *Flight) {
+	t.mine.Add(-1)
+	t.load.Add(-1)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.since > 0 {
+		t.since--
+	} else if t.reported > 0 {
+		t.reported--
+	}
+	if f != nil {
+		delete(t.flights, f)
+	}
+}
+
+// Leave marks the endpoint as leaving at a deadline. It reports whether that
+// is new, and returns the flights that are under way there.
+func (t *Target) Leave(deadline time.Time) (flights []*Flight, fresh bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.class == Leaving {
+		return nil, false
+	}
+	t.class, t.deadline = Leaving, deadline
+	t.out.Store(true)
+	close(t.left)
+	for f := range t.flights {
+		flights = append(flights, f)
+	}
+	return flights, true
+}
+
+// Leaving reports whether the endpoint is leaving, and when it ends.
+func (t *Target) Leaving() (deadline time.Time, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.deadline, t.class == Leaving
+}
+
+// The bounds of ejection.
+const (
+	ejectAfter = 3 // failures in a row
+	ejectFirst = time.Second
+	ejectMost  = 30 * time.Second
+	rampStart  = 0.1 // share of the load bound at the return
+	rampStep   = 1.5 // growth of that share with each success
+)
+
+// Fail counts a failure and reports whether the endpoint is ejected by it. A
+// hard failure, such as a refused connection, ejects at once.
+func (t *Target) Fail(now time.Time, hard bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fails++
+	if !hard && t.fails < ejectAfter {
+		return false
+	}
+	t.ejected = min(max(2*t.ejected, ejectFirst), ejectMost)
+	t.until = now.Add(t.ejected)
+	t.fails = 0
+	t.out.Store(true)
+	return true
+}
+
+// Succeed counts a success: it ends a row of failures and lets an endpoint
+// that has returned take more.
+func (t *Target) Succeed() {
+	if math.Float32frombits(t.ramp.Load()) >= 1 && t.ejected == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fails = 0
+	r := math.Min(1, float64(math.Float32frombits(t.ramp.Load()))*rampStep)
+	t.ramp.Store(math.Float32bits(float32(r)))
+	if r >= 1 {
+		t.ejected = 0
+	}
+}
+
+// Return lets an endpoint back in whose ejection is over. It reports whether
+// it did.
+func (t *Target) Return(now time.Time) bool {
+	if !t.out.Load() {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.class == Leaving || now.Before(t.until) {
+		return false
+	}
+	t.ramp.Store(math.Float32bits(rampStart))
+	t.out.Store(false)
+	return true
+}
+
+// Ejected reports whether the endpoint is kept out for its failures.
+func (t *Target) Ejected() bool {
+	_, leaving := t.Leaving()
+	return t.out.Load() && !leaving
+}
--- /dev/null
+++ b/request/work.go
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: MIT
+
+package request
+
+import (
+	"sync"
+	"time"
+
+	"streambend.example/version"
+)
+
+// Work is what this daemon keeps of one service while it runs.
+type Work struct {
+	Pool   *Pool
+	Queue  *Queue
+	Budget *Budget
+	Speed  *Speed
+}
+
+// Options are a daemon's settings of its requests.
+type Options struct {
+	Zone        string
+	Route       RoutePolicy
+	Move        MovePolicy
+	MaxQueued   int           // requests that wait for one service
+	FirstWait   time.Duration // an endpoint that has sent nothing by then is broken
+	Stall       time.Duration // an endpoint that pauses for so long is broken
+	Grace       time.Duration // how long past its deadline a request goes on
+	Detached    time.Duration // how long a keyed answer goes on without a reader
+	Keep        time.Duration // how long a finished keyed answer is kept
+	KeepMost    int           // finished keyed answers kept
+	Transfer    float64       // tokens of KV an engine exports a second
+	StartLimit  int           // requests of a service at the endpoints, to begin with
+	NoLimit     bool          // no adaptive limit, for comparison
+	NoBudget    bool          // no retry budget, for comparison
+	NoFairQueue bool          // one line for all teams, for comparison
+}
+
+// Defaults returns the options of an ordinary daemon.
+func Defaults() Options {
+	return Options{
+		Route: RouteOurs, Move: MoveOurs, MaxQueued: 1024,
+		FirstWait: 10 * time.Second, Stall: 5 * time.Second, Grace: 30 * time.Second,
+		Detached: 15 * time.Second, Keep: time.Minute, KeepMost: 1024, Transfer: 20000, StartLimit: 64,
+	}
+}
+
+// Works holds the Work of each service.
+type Works struct {
+	opts Options
+	mu   sync.RWMutex
+	byID map[string]*Work
+}
+
+func newWorks(o Options) *Works { return &Works{opts: o, byID: make(map[string]*Work)} }
+
+// Get returns the Work of a service, made at its first use.
+func (w *Works) Get(s *version.Service) *Work {
+	key := s.Key()
+	w.mu.RLock()
+	k := w.byID[key]
+	w.mu.RUnlock()
+	if k != nil {
+		return k
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if k = w.byID[key]; k != nil {
+		return k
+	}
+	k = &Work{
+		Pool:   NewPool(key, w.opts.Zone, s.PerBox),
+		Queue:  NewQueue(NewLimiter(w.opts.StartLimit, s.FirstToken.Duration), w.opts.MaxQueued),
+		Budget: NewBudget(),
+		Speed:  &Speed{},
+	}
+	w.byID[key] = k
+	return k
+}
+
+// All returns every Work.
+func (w *Works) All() []*Work {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	out := make([]*Work, 0, len(w.byID))
+	for _, k := range w.byID {
+		out = append(out, k)
+	}
+	return out
+}
+
+// Drop forgets a service that has been withdrawn.
+func (w *Works) Drop(key string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.byID, key)
+}
+
+// Tick brings everything up to date that changes by time alone.
+func (w *Works) Tick(now time.Time) {
+	for _, k := range w.All() {
+		k.Pool.Tick(now)
+		batch, _ := k.Pool.Capacity()
+		if batch > 0 {
+			k.Queue.Limit.SetMost(batch)
+		}
+		k.Queue.Tick(now)
+	}
+}
+
+// Find returns the Work and the view of an endpoint by its box.
+func (w *Works) Find(box string) (*Work, *Target) {
+	for _, k := range w.All() {
+		if t := k.Pool.Get(box); t != nil {
+			return k, t
+		}
+	}
+	return nil, nil
+}
--- /dev/null
+++ b/version/log.go
@@ -0,0 +1,182 @@
+// SPDX-License-Identifier: MIT
+
+package version
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"streambend.example/code"
+	"streambend.example/platform"
+)
+
+const (
+	logPart      = "config"
+	pointerPart  = "config-snapshot"
+	pointerSort  = "latest"
+	tailLimit    = 100
+	snapshotStep = 64 // versions between two snapshots
+	commitTries  = 8  // races lost before a confirm gives up
+)
+
+// Log is the configuration log in the platform's table, with snapshots in the
+// object store.
+type Log struct {
+	Table   platform.Table
+	Objects platform.Objects // nil for no snapshots
+}
+
+// sortKey orders versions as text; the store sorts keys as bytes.
+func sortKey(v int64) string { return fmt.Sprintf("%020d", v) }
+
+func snapshotName(v int64) string { return "config/" + sortKey(v) }
+
+// Tail returns the entries after a version, the oldest first.
+func (l Log) Tail(ctx context.Context, after int64) ([]Entry, error) {
+	items, err := l.Table.Query(ctx, logPart, sortKey(after), tailLimit)
+	if err != nil {
+		return nil, err
+	}
+	entries := make([]Entry, 0, len(items))
+	for _, it := range items {
+		var e Entry
+		if err := json.Unmarshal(it.Value, &e); err != nil {
+			return nil, errors.Wrapf(err, "version: entry %s", it.Key.Sort)
+		}
+		entries = append(entries, e)
+	}
+	return entries, nil
+}
+
+// Advance brings a configuration up to the table's newest version, and returns
+// the entries that were new.
+func (l Log) Advance(ctx context.Context, c *Config) (*Config, []Entry, error) {
+	var all []Entry
+	for {
+		entries, err := l.Tail(ctx, c.Version)
+		if err != nil {
+			return c, all, err
+		}
+		before := c.Version
+		for _, e := range entries {
+			c = c.Apply(e)
+		}
+		all = append(all, entries...)
+		if len(entries) < tailLimit || c.Version == before {
+			return c, all, nil
+		}
+	}
+}
+
+// Load returns the newest configuration: a snapshot, where there is one, and
+// the entries after it.
+func (l Log) Load(ctx context.Context) (*Config, error) {
+	c := Empty()
+	if s, err := l.snapshot(ctx); err == nil {
+		c = s
+	}
+	c, _, err := l.Advance(ctx, c)
+	return c, err
+}
+
+// pointer is the value of the item that names the newest snapshot.
+type pointer struct {
+	Version int64 `json:"version"`
+}
+
+func (l Log) snapshot(ctx context.Context) (*Config, error) {
+	if l.Objects == nil {
+		return nil, platform.ErrNotFound
+	}
+	it, err := l.Table.Get(ctx, platform.Key{Part: pointerPart, Sort: pointerSort})
+	if err != nil {
+		return nil, err
+	}
+	var p pointer
+	if err := json.Unmarshal(it.Value, &p); err != nil {
+		return nil, errors.Wrap(err, "version: pointer")
+	}
+	b, err := l.Objects.Get(ctx, snapshotName(p.Version))
+	if err != nil {
+		return nil, err
+	}
+	c := Empty()
+	return c, errors.Wrap(json.Unmarshal(b, c), "version: snapshot")
+}
+
+// Snapshot writes the configuration to the object store if a snapshot is due,
+// and points to it. Any daemon may do so at any time: a version has only one
+// content, and the pointer moves upward only.
+func (l Log) Snapshot(ctx context.Context, c *Config) error {
+	if l.Objects == nil || c.Version == 0 || c.Version%snapshotStep != 0 {
+		return nil
+	}
+	b, err := json.Marshal(c)
+	if err != nil {
+		return errors.Wrap(err, "version: snapshot")
+	}
+	if err := l.Objects.Put(ctx, snapshotName(c.Version), b); err != nil && !errors.Is(err, platform.ErrConflict) {
+		return err
+	}
+	key := platform.Key{Part: pointerPart, Sort: pointerSort}
+	it, err := l.Table.Get(ctx, key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return err
+	}
+	var p pointer
+	if err == nil && json.Unmarshal(it.Value, &p) == nil && p.Version >= c.Version {
+		return nil
+	}
+	v, _ := json.Marshal(pointer{Version: c.Version})
+	return platform.Put(ctx, l.Table, uuid.NewString(), platform.Write{Key: key, Rev: it.Rev, Value: v})
+}
+
+// nonce names the attempt to write a plan as a version. The same attempt has
+// the same nonce wherever it is made.
+func nonce(plan string, v int64) string {
+	return uuid.NewSHA1(uuid.NameSpaceOID, fmt.Appendf(nil, "%s/%d", plan, v)).String()
+}
+
+// Confirm commits a plan and returns the configuration that holds it, with
+// the entries that are new since c. A plan confirmed before stays as it is. The errors are code.Conflict and
+// the others of Check, code.StoreDown when nothing was written, and
+// code.OutcomeUnclear when the table's answers were lost.
+func (l Log) Confirm(ctx context.Context, now time.Time, c *Config, pool int, p Plan) (*Config, []Entry, error) {
+	var all []Entry
+	for range commitTries {
+		next, fresh, err := l.Advance(ctx, c)
+		c, all = next, append(all, fresh...)
+		if err != nil {
+			return c, all, code.New(code.StoreDown, "%v", err).After(time.Second)
+		}
+		if _, done := c.Applied[p.ID]; done {
+			return c, all, nil
+		}
+		if err := Check(now, c, pool, p); err != nil {
+			return c, all, err
+		}
+		e := Entry{Version: c.Version + 1, Plan: p.ID, Author: p.Author, At: now, Service: p.Service, Withdraw: p.Withdraw}
+		v, err := json.Marshal(e)
+		if err != nil {
+			return c, all, errors.Wrap(err, "version: entry")
+		}
+		w := platform.Write{Key: platform.Key{Part: logPart, Sort: sortKey(e.Version)}, Value: v}
+		err = platform.Put(ctx, l.Table, nonce(p.ID, e.Version), w)
+		switch {
+		case err == nil:
+			return c.Apply(e), append(all, e), nil
+		case errors.Is(err, platform.ErrConflict):
+			continue // another change came first; read it and check again
+		case platform.Ambiguous(err):
+			return c, all, code.New(code.OutcomeUnclear, "%v", err).After(time.Second)
+		default:
+			return c, all, code.New(code.StoreDown, "%v", err).After(time.Second)
+		}
+	}
+	return c, all, code.New(code.Conflict, "lost %d races for the next version", commitTries)
+}
