trial: fuzz scripts of faults, with a planted fault for each promise

Cause: the promises were shown to hold in 11 fixed scripts, not to be able to fail. For each promise a fault can be planted in the code by tests.

--- a/internal/trial/faults.go
+++ b/internal/trial/faults.go
@@ -47,15 +47,28 @@
 	return out
 }
 
-// ordinary lists the events that are part of every trial.
+// ordinary lists the events that are no faults; those with a time are part of
+// every trial.
 func ordinary() []fault {
 	return []fault{
 		{name: "reclaim", at: 0.2, run: func(_ context.Context, t *trial) { t.reclaim("silom", "makati-a") }},
+		{name: "reclaim-slow", run: func(_ context.Context, t *trial) { t.reclaimIn(slowNotice, "chatuchak", "makati-b") }},
 		{name: "change", at: 0.45, run: func(ctx context.Context, t *trial) { t.change(ctx) }},
 		{name: "planned-stop", at: 0.55, run: func(ctx context.Context, t *trial) { t.plannedStop(ctx) }},
 	}
 }
 
+// Events lists the names that a Step takes.
+func Events() []string {
+	var out []string
+	for _, f := range append(ordinary(), faults()...) {
+		if f.run != nil {
+			out = append(out, f.name)
+		}
+	}
+	return out
+}
+
 // Step is one event of a script.
 type Step struct {
 	At    float64 // share of the span
@@ -67,7 +80,9 @@
 func Script(name string) []Step {
 	var out []Step
 	for _, f := range ordinary() {
-		out = append(out, Step{f.at, f.name})
+		if f.at > 0 {
+			out = append(out, Step{f.at, f.name})
+		}
 	}
 	for _, f := range faults() {
 		if f.name == name && f.run != nil {
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"streambend.example/internal/plant"
 	"streambend.example/platform"
 	"streambend.example/process"
 	"streambend.example/request"
@@ -29,7 +30,8 @@
 	LogLevel string
 	Progress io.Writer // for a person; nil for none
 	Net      platform.Network
-	Hold     bool // keep running afterwards until ctx ends
+	Plant    plant.Fault // set by tests alone
+	Hold     bool        // keep running afterwards until ctx ends
 }
 
 // DefaultOptions returns the options of "streambend try".
@@ -56,8 +58,11 @@
 	return route, move, place
 }
 
-// noticeTime is from a reclaim's notice to the end of the box.
-const noticeTime = 2 * time.Second
+// The times from a reclaim's notice to the end of the box.
+const (
+	noticeTime = 2 * time.Second
+	slowNotice = 8 * time.Second
+)
 
 // trial is one run.
 type trial struct {
@@ -180,13 +185,15 @@
 }
 
 // reclaim gives notice to all reclaimable boxes of the zones.
-func (t *trial) reclaim(zones ...string) {
+func (t *trial) reclaim(zones ...string) { t.reclaimIn(noticeTime, zones...) }
+
+func (t *trial) reclaimIn(notice time.Duration, zones ...string) {
 	for _, z := range zones {
-		n := t.cloud.Reclaim(time.Now(), noticeTime, func(b platform.Box) bool { return b.Zone == z })
+		n := t.cloud.Reclaim(time.Now(), notice, func(b platform.Box) bool { return b.Zone == z })
 		t.mu.Lock()
 		t.report.BoxesReclaimed += n
 		t.mu.Unlock()
-		t.say("       zone %s is reclaimed in %s: %d boxes", z, noticeTime, n)
+		t.say("       zone %s is reclaimed in %s: %d boxes", z, notice, n)
 	}
 }
 
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -89,7 +89,9 @@
 	zones := append(append([]string{}, bangkok...), manila...)
 	for i := range o.Daemons {
 		s := w.settings(i, zones[(i*3)%len(zones)], storeURL, cloudURL)
-		d, err := process.New(s, process.Adapters(s, o.Net), w.log)
+		p := process.Adapters(s, o.Net)
+		p.Plant = o.Plant
+		d, err := process.New(s, p, w.log)
 		if err != nil {
 			w.close()
 			return nil, err
--- a/process/daemon.go
+++ b/process/daemon.go
@@ -17,6 +17,7 @@
 	"golang.org/x/net/netutil"
 
 	"streambend.example/conn"
+	"streambend.example/internal/plant"
 	"streambend.example/platform"
 	"streambend.example/request"
 	"streambend.example/version"
@@ -29,7 +30,8 @@
 	Cloud   platform.Cloud
 	Boxes   platform.BoxList
 	Network platform.Network
-	Close   func() // closes the connections kept
+	Close   func()      // closes the connections kept
+	Plant   plant.Fault // set by tests alone
 }
 
 // Adapters returns the adapters that the settings name.
@@ -115,8 +117,10 @@
 	d.handed = newHanded()
 	client := conn.NewClient(p.Network, s.Limits.BodyBytes)
 	claims := request.NewClaims(d.instance(), d.tables.claim)
-	d.Server = request.NewServer(s.options(), client, claims, peerAsker{d}, log)
-	d.config = newCurrent(version.Log{Table: d.tables.config, Objects: p.Objects})
+	opts := s.options()
+	opts.Plant = p.Plant
+	d.Server = request.NewServer(opts, client, claims, peerAsker{d}, log)
+	d.config = newCurrent(version.Log{Table: d.tables.config, Objects: p.Objects}, p.Plant)
 	mesh := conn.NewMesh(d.Self, conn.DefaultTiming())
 	d.Hub = conn.NewHub(mesh, d.Self, p.Network, s.Peers.Secret, log, d.take, d.answerAsk)
 	d.fleet = newFleet(d)
@@ -219,6 +223,10 @@
 // then finished or handed over, then gone.
 func (d *Daemon) Stop(ctx context.Context) {
 	log := d.log.WithField("part", "process")
+	if d.plat.Plant == plant.CutOnStop {
+		d.Kill()
+		return
+	}
 	log.Infof("stop: %s is unready", d.Self.Name)
 	d.draining.Store(true)
 	d.ready.Store(false)
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -15,6 +15,7 @@
 
 	"streambend.example/code"
 	"streambend.example/conn"
+	"streambend.example/internal/plant"
 	"streambend.example/version"
 )
 
@@ -149,6 +150,10 @@
 	attempt := r.newAttempt()
 	prompt, emitted := r.a.begin(attempt, r.restart)
 	r.restart = false
+	if r.opts.Plant == plant.RepeatToken && len(emitted) > 0 {
+		emitted = emitted[:len(emitted)-1]
+		r.a.sent--
+	}
 	prefix := r.r.Prefix()
 	path, body, err := r.r.attemptBody(prompt, emitted, cacheKey(prefix))
 	if err != nil {
@@ -256,6 +261,7 @@
 		Ending: e, Unrepeatable: r.r.Unrepeatable, Tainted: r.life.Tainted,
 		Budget: r.opts.NoBudget || r.work.Budget.Left(), GiveUpAt: r.giveUpAt(),
 	})
+	v = r.planted(v, e)
 	if v.Action == Again && r.a.full() {
 		v = Verdict{Action: Finish}
 	}
@@ -277,6 +283,20 @@
 	return true
 }
 
+// planted spoils a verdict where a test has planted a fault.
+func (r *run) planted(v Verdict, e Ending) Verdict {
+	switch {
+	case r.opts.Plant == plant.DropMoved && e == EndedMoved:
+		return Verdict{Action: GiveUp, Code: code.NotWhole}
+	case r.opts.Plant == plant.RefuseAfterSend && e == EndedBroken:
+		r.life.Tainted = false
+		return Verdict{Action: Refuse, Code: code.NoEndpoint}
+	case r.opts.Plant == plant.RerunUnrepeatable && e == EndedBroken:
+		return Verdict{Action: Again}
+	}
+	return v
+}
+
 // note lets the pool and the limit learn from an ending.
 func (r *run) note(now time.Time, t *Target, e Ending) {
 	switch e {
@@ -381,6 +401,9 @@
 	if t == nil {
 		return false
 	}
+	if s.opts.Plant == plant.RouteToLeaving {
+		return true
+	}
 	flights, fresh := t.Leave(deadline)
 	if !fresh {
 		return false
--- a/request/work.go
+++ b/request/work.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"streambend.example/internal/plant"
 	"streambend.example/version"
 )
 
@@ -34,6 +35,7 @@
 	NoLimit     bool          // no adaptive limit, for comparison
 	NoBudget    bool          // no retry budget, for comparison
 	NoFairQueue bool          // one line for all teams, for comparison
+	Plant       plant.Fault   // set by tests alone
 }
 
 // Defaults returns the options of an ordinary daemon.
