--- a/conn/hub.go
+++ b/conn/hub.go
@@ -214,6 +214,9 @@
 			h.dial(now, m)
 		}
 	}
+	if m, ok := h.Mesh.Retry(now); ok {
+		h.dial(now, m)
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for name, l := range h.links {
--- a/conn/mesh.go
+++ b/conn/mesh.go
@@ -109,11 +109,12 @@
 	Silence time.Duration // without a heartbeat a neighbour is suspected
 	Refute  time.Duration // time a suspect has to deny it
 	Forget  time.Duration // how long dead members are remembered
+	Retry   time.Duration // between two tries to reach a dead member
 }
 
 // DefaultTiming returns the periods of an ordinary daemon.
 func DefaultTiming() Timing {
-	return Timing{Beat: time.Second, Silence: 3500 * time.Millisecond, Refute: 3 * time.Second, Forget: 10 * time.Minute}
+	return Timing{Beat: time.Second, Silence: 3500 * time.Millisecond, Refute: 3 * time.Second, Forget: 10 * time.Minute, Retry: 5 * time.Second}
 }
 
 // spreadMost is how many members out of a neighbour's whole list are passed
@@ -157,6 +158,8 @@
 	version    int64
 	digest     uint64
 	lastBeat   time.Time
+	lastRetry  time.Time
+	retries    int
 }
 
 type origin struct {
@@ -296,6 +299,29 @@
 	return out
 }
 
+// Retry returns a dead member to try to reach now and then, each in turn: with
+// regions apart each side buries the other, and somebody must knock.
+func (m *Mesh) Retry(now time.Time) (Member, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if now.Sub(m.lastRetry) < m.timing.Retry {
+		return Member{}, false
+	}
+	var dead []Member
+	for _, k := range m.members {
+		if k.State == MemberDead {
+			dead = append(dead, k.Member)
+		}
+	}
+	if len(dead) == 0 {
+		return Member{}, false
+	}
+	slices.SortFunc(dead, func(a, b Member) int { return strings.Compare(a.Name, b.Name) })
+	m.lastRetry = now
+	m.retries++
+	return dead[m.retries%len(dead)], true
+}
+
 // Up takes a new link in and greets the neighbour with all members known.
 func (m *Mesh) Up(now time.Time, peer Member) []Send {
 	m.mu.Lock()
