trial: replay recorded hours through the placement policy; test wrong input

Change: an hour of prices, reclaims, refused starts and demand is made from a seed and fed to the pure policy. Settings now name every wrong field at once (the decoder gave up at the first wrong type and named no unknown ones).

--- /dev/null
+++ b/internal/trial/replay.go
@@ -0,0 +1,277 @@
+// SPDX-License-Identifier: MIT
+
+package trial
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"streambend.example/platform"
+	"streambend.example/version"
+)
+
+// Hour is a recorded hour of the platform and of the demand, at each Tick.
+type Hour struct {
+	Tick    time.Duration
+	Prices  [][]platform.Price
+	Demand  []float64         // boxes that the demand needs
+	Reclaim []string          // zone that gets notice, "" for none
+	Refused []map[string]bool // zones where reclaimable starts are refused
+}
+
+// The course of a recorded hour.
+const (
+	hourTick    = 10 * time.Second
+	bootTime    = 90 * time.Second
+	noticeShort = 30 * time.Second
+	spotLow     = 0.2 // of the price on demand
+	spotHigh    = 0.5
+	spotStep    = 0.03
+)
+
+// RecordHour makes an hour from a seed: prices that wander, demand that swings
+// by half, a zone reclaimed now and then (the cheaper, the likelier), and
+// starts refused after it.
+func RecordHour(seed uint64, s version.Service) Hour {
+	rng := rand.New(rand.NewPCG(seed, 9))
+	h := Hour{Tick: hourTick}
+	spot := make([]float64, len(s.Zones))
+	shut := make([]time.Duration, len(s.Zones))
+	for i := range spot {
+		spot[i] = spotLow + (spotHigh-spotLow)*rng.Float64()
+	}
+	for at := time.Duration(0); at < time.Hour; at += hourTick {
+		var prices []platform.Price
+		refused := make(map[string]bool)
+		reclaim := ""
+		for i, z := range s.Zones {
+			spot[i] = math.Min(spotHigh, math.Max(spotLow, spot[i]+spotStep*(rng.Float64()-0.5)))
+			prices = append(prices,
+				platform.Price{Zone: z, Class: s.Class, Hourly: 4},
+				platform.Price{Zone: z, Class: s.Class, Reclaimable: true, Hourly: 4 * spot[i]})
+			if rng.Float64() < 0.008*spotLow/spot[i] {
+				reclaim, shut[i] = z, at+time.Duration(3+rng.IntN(6))*time.Minute
+			}
+			refused[z] = at < shut[i]
+		}
+		wave := 1 + 0.5*math.Sin(2*math.Pi*at.Hours()*2)
+		h.Prices = append(h.Prices, prices)
+		h.Demand = append(h.Demand, 8*wave+rng.Float64())
+		h.Reclaim = append(h.Reclaim, reclaim)
+		h.Refused = append(h.Refused, refused)
+	}
+	return h
+}
+
+// Outcome is what a policy has made of an hour.
+type Outcome struct {
+	Policy     version.Policy `json:"policy"`
+	Extra      float64        `json:"extra"` // boxes ordered beyond the demand, as a multiple
+	Cost       float64        `json:"cost"`
+	Attainment float64        `json:"attainment"` // share of the interactive work done at once
+	Done       float64        `json:"done"`       // share of all work done within the hour
+	Doubled    int            `json:"doubled"`    // slots held by two boxes
+}
+
+// replay is one policy in an hour.
+type replay struct {
+	s       version.Service
+	h       Hour
+	p       version.Policy
+	extra   float64
+	boxes   []platform.Box
+	ready   map[string]time.Time
+	refused map[version.BoxKind]time.Time
+	dear    map[string]time.Time
+	lost    map[string]float64
+	surplus time.Time
+	peak    float64
+	nextID  int
+	out     Outcome
+}
+
+// Replay feeds a recorded hour to the pure policy. Extra multiplies the demand
+// that the policy is told of, so that policies can be compared at the same
+// attainment.
+func Replay(h Hour, s version.Service, p version.Policy, extra float64) Outcome {
+	r := &replay{
+		s: s, h: h, p: p, extra: extra, ready: make(map[string]time.Time), refused: make(map[version.BoxKind]time.Time),
+		dear: make(map[string]time.Time), lost: make(map[string]float64), out: Outcome{Policy: p, Extra: extra},
+	}
+	start := time.Date(2026, 12, 2, 0, 0, 0, 0, time.UTC)
+	// Begin with the boxes that the policy wants, all ready.
+	r.order(start.Add(-time.Hour), 0)
+	for id := range r.ready {
+		r.ready[id] = start
+	}
+	var atOnce, urgent, done, all, backlog float64
+	for i := range h.Demand {
+		now := start.Add(time.Duration(i) * h.Tick)
+		r.reclaim(now, i)
+		r.order(now, i)
+		up := r.serving(now)
+		need := h.Demand[i] * s.Interactive
+		atOnce += math.Min(up, need)
+		urgent += need
+		backlog += h.Demand[i] * (1 - s.Interactive)
+		patient := math.Min(backlog, math.Max(0, up-need))
+		backlog -= patient
+		done += math.Min(up, need) + patient
+		all += h.Demand[i]
+		r.bill(i)
+	}
+	r.out.Attainment, r.out.Done = atOnce/urgent, done/all
+	return r.out
+}
+
+// reclaim takes the boxes of a zone whose notice runs out.
+func (r *replay) reclaim(now time.Time, i int) {
+	for j := range r.boxes {
+		b := &r.boxes[j]
+		if b.State == platform.BoxLeaving && !now.Before(b.Deadline) {
+			b.State = platform.BoxGone
+		}
+		if b.State < platform.BoxLeaving && b.Reclaimable && b.Zone == r.h.Reclaim[i] {
+			b.State, b.Deadline = platform.BoxLeaving, now.Add(noticeShort)
+			r.lost[b.Zone]++
+		}
+	}
+}
+
+// order lets the policy decide and carries the decision out.
+func (r *replay) order(now time.Time, i int) {
+	r.peak = math.Max(r.h.Demand[i], r.peak*math.Pow(0.5, r.h.Tick.Minutes()/2))
+	in := version.PlaceInput{
+		Service: r.s, Need: int(math.Ceil(r.peak * r.extra)), Prices: r.h.Prices[i], Boxes: r.boxes,
+		Refused: r.refused, Dear: r.dear, Swap: 10 * time.Minute, Hold: 2 * time.Minute, Loss: make(map[string]float64),
+	}
+	for z, n := range r.lost {
+		in.Loss[z] = n / float64(max(1, r.s.MaxBoxes/len(r.s.Zones)))
+	}
+	alive := 0
+	for _, b := range r.boxes {
+		if b.State < platform.BoxLeaving {
+			alive++
+			if !version.IsDear(in, b) {
+				delete(r.dear, b.ID)
+			} else if _, ok := r.dear[b.ID]; !ok {
+				r.dear[b.ID] = now
+			}
+		}
+	}
+	in.Surplus = r.surplus
+	d := version.Place(now, in, r.p)
+	if alive <= d.Want {
+		r.surplus = time.Time{}
+	} else if r.surplus.IsZero() {
+		r.surplus = now
+	}
+	for _, o := range d.Starts {
+		r.start(now, o, i)
+	}
+	for _, id := range d.Stops {
+		for j := range r.boxes {
+			if r.boxes[j].ID == id {
+				r.boxes[j].State = platform.BoxGone
+			}
+		}
+	}
+	r.prune()
+}
+
+// prune drops boxes that are gone and whose slot has a newer one, as the
+// platform's list does in time.
+func (r *replay) prune() {
+	newest := make(map[string]int)
+	for _, b := range r.boxes {
+		slot, gen := version.SplitToken(b.Token)
+		newest[slot] = max(newest[slot], gen)
+	}
+	r.boxes = slices.DeleteFunc(r.boxes, func(b platform.Box) bool {
+		slot, gen := version.SplitToken(b.Token)
+		return b.State == platform.BoxGone && gen < newest[slot]
+	})
+}
+
+func (r *replay) start(now time.Time, o platform.StartOrder, i int) {
+	if o.Reclaimable && r.h.Refused[i][o.Zone] {
+		r.refused[version.BoxKind{Zone: o.Zone, Class: o.Class, Reclaimable: true}] = now.Add(time.Minute)
+		return
+	}
+	for _, b := range r.boxes {
+		if b.Token == o.Token {
+			r.out.Doubled++
+			return
+		}
+	}
+	r.nextID++
+	id := fmt.Sprintf("box-%04d", r.nextID)
+	r.boxes = append(r.boxes, platform.Box{
+		ID: id, Token: o.Token, Partner: o.Partner, Service: o.Service, Zone: o.Zone, Class: o.Class,
+		Reclaimable: o.Reclaimable, State: platform.BoxLive,
+	})
+	r.ready[id] = now.Add(bootTime)
+}
+
+// serving counts the boxes that serve.
+func (r *replay) serving(now time.Time) float64 {
+	n := 0.0
+	for _, b := range r.boxes {
+		if b.State < platform.BoxGone && !now.Before(r.ready[b.ID]) {
+			n++
+		}
+	}
+	return n
+}
+
+// bill adds the price of one tick.
+func (r *replay) bill(i int) {
+	for _, b := range r.boxes {
+		if b.State == platform.BoxGone {
+			continue
+		}
+		for _, p := range r.h.Prices[i] {
+			if p.Zone == b.Zone && p.Class == b.Class && p.Reclaimable == b.Reclaimable {
+				r.out.Cost += p.Hourly * r.h.Tick.Hours()
+			}
+		}
+	}
+}
+
+// PlacementService is the service whose hours are replayed.
+func PlacementService() version.Service {
+	s := services()[0]
+	s.MinBoxes, s.MaxBoxes, s.HourlyBound = 4, 40, 1000
+	return s
+}
+
+// extraSteps are the multiples of the demand tried for an equal attainment.
+var extraSteps = [...]float64{1, 1.5, 3}
+
+// doneShare is the share of all work that must be done within the hour.
+const doneShare = 0.95
+
+// AtAttainment returns the smallest outcome of a policy, on average over the
+// hours of so many seeds, that attains a share of the interactive work and
+// does the rest within the hour; false if none does.
+func AtAttainment(p version.Policy, share float64, seeds int) (Outcome, bool) {
+	s := PlacementService()
+	var best Outcome
+	for _, extra := range extraSteps {
+		sum := Outcome{Policy: p, Extra: extra}
+		for seed := range seeds {
+			o := Replay(RecordHour(uint64(seed+1), s), s, p, extra)
+			sum.Cost += o.Cost / float64(seeds)
+			sum.Attainment += o.Attainment / float64(seeds)
+			sum.Done += o.Done / float64(seeds)
+			sum.Doubled += o.Doubled
+		}
+		if best = sum; sum.Attainment >= share && sum.Done >= doneShare {
+			return sum, true
+		}
+	}
+	return best, false
+}
--- a/process/bench_test.go
+++ b/process/bench_test.go
@@ -34,8 +34,10 @@
 func (fixedBoxes) Start(context.Context, platform.StartOrder) (platform.Box, error) {
 	return platform.Box{}, platform.ErrRefused
 }
-func (fixedBoxes) Stop(context.Context, string, int64) error          { return nil }
-func (fixedBoxes) Prices(context.Context) ([]platform.Price, error)   { return nil, nil }
+func (fixedBoxes) Stop(context.Context, string, int64) error { return nil }
+func (fixedBoxes) Prices(context.Context) ([]platform.Price, error) {
+	return []platform.Price{{Zone: "silom", Class: "any", Reclaimable: true, Hourly: 0.001}}, nil
+}
 func (fixedBoxes) Notices(context.Context) ([]platform.Notice, error) { return nil, nil }
 
 const benchToken = "bench"
@@ -55,6 +57,14 @@
 	s.Peers.Secret = "the secret of the bench"
 	s.Callers = []process.Caller{{TokenSHA256: process.HashToken(benchToken), Partner: "office", Team: "bench", Weight: 1}}
 	s.Limits.Queued = 100000
+	for _, o := range []process.Operator{
+		{TokenSHA256: process.HashToken("officer"), Partner: "office", Name: "officer", Role: "operator"},
+		{TokenSHA256: process.HashToken("reader"), Partner: "office", Name: "reader", Role: "reader"},
+		{TokenSHA256: process.HashToken("producer"), Partner: "podwave", Name: "producer", Role: "operator"},
+	} {
+		s.Operators = append(s.Operators, o)
+	}
+	s.Pool = 1000
 	f := fixedBoxes{}
 	for i, m := range machines {
 		f.boxes = append(f.boxes, platform.Box{
--- a/process/settings.go
+++ b/process/settings.go
@@ -9,6 +9,7 @@
 	"io"
 	"reflect"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/go-playground/validator/v10"
@@ -164,7 +165,30 @@
 	return s, nil
 }
 
+// decodeTree fills s in. The decoder stops at some errors and then names no
+// unknown fields, so what is wrong is taken out of the tree and the rest
+// decoded again, until nothing is wrong with it.
 func decodeTree(tree map[string]any, s *Settings) Problems {
+	var out Problems
+	for {
+		unused, err := decodeOnce(tree, s)
+		if err == nil {
+			for _, u := range unused {
+				out = append(out, Problem{code.UnknownField, "$." + u, "no such setting"})
+			}
+			return out
+		}
+		for _, e := range leaves(err) {
+			var de *mapstructure.DecodeError
+			if !errors.As(e, &de) || !remove(tree, de.Name()) {
+				return append(out, Problem{code.BadSettings, "$", e.Error()})
+			}
+			out = append(out, Problem{code.BadSettings, "$." + de.Name(), de.Unwrap().Error()})
+		}
+	}
+}
+
+func decodeOnce(tree map[string]any, s *Settings) (unused []string, err error) {
 	var meta mapstructure.Metadata
 	dec, err := mapstructure.NewDecoder(&mapstructure.DecoderConfig{
 		Result: s, Metadata: &meta, TagName: "json",
@@ -172,24 +196,39 @@
 		MatchName:  func(key, field string) bool { return key == field },
 	})
 	if err != nil {
-		return Problems{{code.BadSettings, "$", err.Error()}}
-	}
-	var out Problems
-	if err := dec.Decode(tree); err != nil {
-		for _, e := range leaves(err) {
-			path, text := "$", e.Error()
-			var de *mapstructure.DecodeError
-			if errors.As(e, &de) {
-				path, text = "$."+de.Name(), de.Unwrap().Error()
-			}
-			out = append(out, Problem{code.BadSettings, path, text})
-		}
+		return nil, err
 	}
+	err = dec.Decode(tree)
 	slices.Sort(meta.Unused)
-	for _, u := range meta.Unused {
-		out = append(out, Problem{code.UnknownField, "$." + u, "no such setting"})
+	return meta.Unused, err
+}
+
+// remove sets the value at a path such as callers[0].weight to nil, which the
+// decoder passes over. It reports whether there was one.
+func remove(v any, path string) bool {
+	name, rest, deeper := strings.Cut(path, ".")
+	name, index, listed := strings.Cut(name, "[")
+	m, ok := v.(map[string]any)
+	if !ok || m[name] == nil {
+		return false
 	}
-	return out
+	if !listed && !deeper {
+		m[name] = nil
+		return true
+	}
+	if !listed {
+		return remove(m[name], rest)
+	}
+	list, ok := m[name].([]any)
+	i, err := strconv.Atoi(strings.TrimSuffix(index, "]"))
+	if !ok || err != nil || i >= len(list) || list[i] == nil {
+		return false
+	}
+	if !deeper {
+		list[i] = nil
+		return true
+	}
+	return remove(list[i], rest)
 }
 
 // leaves returns the errors that are joined in err.
--- a/request/life_test.go
+++ b/request/life_test.go
@@ -80,3 +80,18 @@
 	assert.Equal(t, request.Full, request.ClassOf(request.Busy, 17, 16))
 	assert.Equal(t, request.Idle, request.ClassOf(request.Full, 0, 16))
 }
+
+func FuzzModelBody(f *testing.F) {
+	f.Add(request.CompletionPath, []byte(`{"model":"digest","prompt":"a","max_tokens":2}`))
+	f.Add(request.CompletionPath, []byte(`{"model":"digest","prompt":[1,2]}`))
+	f.Add(request.ChatPath, []byte(`{"model":"digest","messages":[{"role":"user","content":[{"type":"text"}]}]}`))
+	f.Fuzz(func(t *testing.T, path string, body []byte) {
+		m, name, err := request.ParseModel(path, body)
+		switch {
+		case err != nil && code.Of(err) != code.BadBody && code.Of(err) != code.NotSupported:
+			t.Fatal(err)
+		case err == nil && (name == "" || m.Max < 0):
+			t.Fatalf("taken: %q", body)
+		}
+	})
+}
--- a/version/place.go
+++ b/version/place.go
@@ -158,7 +158,7 @@
 		v.hourly[BoxKind{Zone: p.Zone, Class: p.Class, Reclaimable: p.Reclaimable}] = p.Hourly
 	}
 	for _, b := range in.Boxes {
-		slot, gen := splitToken(b.Token)
+		slot, gen := SplitToken(b.Token)
 		v.used[slot] = max(v.used[slot], gen)
 		if b.State == platform.BoxStarting || b.State == platform.BoxLive {
 			v.busy[slot] = true
@@ -189,8 +189,8 @@
 	return fmt.Sprintf("%016x-%d", h, slot)
 }
 
-// splitToken returns the slot and the generation of a start token.
-func splitToken(token string) (slot string, gen int) {
+// SplitToken returns the slot that a start token names and its generation.
+func SplitToken(token string) (slot string, gen int) {
 	i := strings.LastIndexByte(token, '-')
 	if i < 0 {
 		return token, 0
@@ -205,7 +205,7 @@
 // NextGeneration returns the token to try when the box that a token names is
 // gone already, although the list no longer shows it.
 func NextGeneration(token string) string {
-	slot, gen := splitToken(token)
+	slot, gen := SplitToken(token)
 	return fmt.Sprintf("%s-%d", slot, gen+1)
 }
 
