--- a/cmd/streambend/main.go
+++ b/cmd/streambend/main.go
@@ -33,6 +33,7 @@
 		data        any
 	}{
 		{"try", "Run daemons among stand-ins, make things fail, and check every promise", newTry()},
+		{"bench", "Compare our policies with the baselines", &benchCommand{}},
 		{"serve", "Run a daemon", &serveCommand{}},
 		{"check", "Check a daemon's settings", &checkCommand{}},
 		{"intent", "Submit, confirm and look at intents", &intentCommand{}},
--- a/internal/trial/load.go
+++ b/internal/trial/load.go
@@ -33,7 +33,9 @@
 		defer w.wg.Done()
 		for ctx.Err() == nil {
 			time.Sleep(balancePeriod)
-			b.look()
+			if w.opts.DaemonNet == nil {
+				b.look()
+			}
 		}
 	}()
 	return b
@@ -89,6 +91,14 @@
 func (w *world) load(ctx context.Context, b *balancer, span time.Duration) *load {
 	l := &load{}
 	end := time.Now().Add(span)
+	l.wg.Add(1)
+	go func() {
+		defer l.wg.Done()
+		select {
+		case <-ctx.Done():
+		case <-time.After(span):
+		}
+	}()
 	for i, j := range jobs() {
 		j.perSecond *= w.opts.Rate
 		if j.team == floodTeam {
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -21,7 +21,7 @@
 // Options say what a trial does. DefaultOptions gives the ordinary ones.
 type Options struct {
 	Seed     uint64
-	Policy   string // ours, or a baseline: random, least-loaded, restart, resume, export, on-demand, greedy, spread
+	Policy   string // one of Policies
 	Fault    string // one of Faults, or ""
 	Script   []Step // what happens when; nil for Script(Fault)
 	Daemons  int
@@ -33,8 +33,11 @@
 	LogLevel string
 	Progress io.Writer // for a person; nil for none
 	Net      platform.Network
-	Plant    plant.Fault // set by tests alone
-	Hold     bool        // keep running afterwards until ctx ends
+	// DaemonNet is the network that the daemons dial over, to be measured; nil
+	// for Net.
+	DaemonNet platform.Network
+	Plant     plant.Fault // set by tests alone
+	Hold      bool        // keep running afterwards until ctx ends
 }
 
 // DefaultOptions returns the options of "streambend try".
@@ -44,7 +47,17 @@
 
 // Policies lists the names that Options.Policy takes.
 func Policies() []string {
-	return []string{"ours", "random", "least-loaded", "restart", "resume", "export", "on-demand", "greedy", "spread"}
+	return []string{
+		"ours", "random", "least-loaded", "restart", "resume", "export", "on-demand", "greedy", "spread",
+		"no-limit", "no-fair-queue", "no-budget",
+	}
+}
+
+// adjust switches a mechanism off, where the policy is named so.
+func (o Options) adjust(r *request.Options) {
+	r.NoLimit = o.Policy == "no-limit"
+	r.NoFairQueue = o.Policy == "no-fair-queue"
+	r.NoBudget = o.Policy == "no-budget"
 }
 
 // policies returns the routing, moving and placement policies.
@@ -319,6 +332,9 @@
 func (t *trial) watchVersions(ctx context.Context) func() int {
 	var mu sync.Mutex
 	reverts := 0
+	if t.opts.DaemonNet != nil {
+		return func() int { return 0 } // nothing but the daemons shall be measured
+	}
 	seen := make(map[*process.Daemon]int64)
 	t.wg.Add(1)
 	go func() {
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -107,8 +107,12 @@
 	for _, d := range w.live() {
 		s.Peers.Seeds = append(s.Peers.Seeds, d.Addresses().Peers)
 	}
-	p := process.Adapters(s, w.opts.Net)
-	p.Plant = w.opts.Plant
+	net := w.opts.Net
+	if w.opts.DaemonNet != nil {
+		net = w.opts.DaemonNet
+	}
+	p := process.Adapters(s, net)
+	p.Plant, p.Adjust = w.opts.Plant, w.opts.adjust
 	d, err := process.New(s, p, w.log)
 	if err != nil {
 		return nil, err
@@ -132,8 +136,12 @@
 	s.Timing.Drain = span(20 * time.Second)
 	s.Timing.Hold = span(30 * time.Second)
 	s.Timing.FirstWait, s.Timing.Stall = span(2*time.Second), span(time.Second)
-	s.Timing.List, s.Timing.Poll = span(500*time.Millisecond), span(time.Second)
-	s.Timing.Lease = span(3 * time.Second)
+	if w.opts.DaemonNet == nil {
+		// A trial is short: what takes ordinary daemons minutes happens
+		// within seconds.
+		s.Timing.List, s.Timing.Poll = span(500*time.Millisecond), span(time.Second)
+		s.Timing.Lease, s.Timing.Watch = span(3*time.Second), span(500*time.Millisecond)
+	}
 	s.Route, s.Move, s.Place = w.opts.policies()
 	seen := make(map[string]bool)
 	for _, j := range jobs() {
--- a/process/bench_test.go
+++ b/process/bench_test.go
@@ -57,12 +57,10 @@
 	s.Peers.Secret = "the secret of the bench"
 	s.Callers = []process.Caller{{TokenSHA256: process.HashToken(benchToken), Partner: "office", Team: "bench", Weight: 1}}
 	s.Limits.Queued = 100000
-	for _, o := range []process.Operator{
+	s.Operators = []process.Operator{
 		{TokenSHA256: process.HashToken("officer"), Partner: "office", Name: "officer", Role: "operator"},
 		{TokenSHA256: process.HashToken("reader"), Partner: "office", Name: "reader", Role: "reader"},
 		{TokenSHA256: process.HashToken("producer"), Partner: "podwave", Name: "producer", Role: "operator"},
-	} {
-		s.Operators = append(s.Operators, o)
 	}
 	s.Pool = 1000
 	f := fixedBoxes{}
--- a/process/current.go
+++ b/process/current.go
@@ -104,7 +104,7 @@
 	return c.synced, c.have
 }
 
-// sharedPeriod stretches a period so that its cost at the table stays the
+// sharedPeriod stretches a period so that its cost at the platform stays the
 // same for a zone however many daemons the zone has, and adds jitter.
 func (d *Daemon) sharedPeriod(p time.Duration) time.Duration {
 	n := 0
@@ -113,6 +113,15 @@
 			n++
 		}
 	}
+	return stretch(p, n)
+}
+
+// fleetPeriod does the same for what one daemon's look tells all the others.
+func (d *Daemon) fleetPeriod(p time.Duration) time.Duration {
+	return stretch(p, len(d.Hub.Mesh.Members()))
+}
+
+func stretch(p time.Duration, n int) time.Duration {
 	p = p * time.Duration(max(n, 2)) / 2
 	return p*9/10 + time.Duration(rand.Int64N(int64(p)/5+1))
 }
--- a/process/daemon.go
+++ b/process/daemon.go
@@ -32,6 +32,10 @@
 	Network platform.Network
 	Close   func()      // closes the connections kept
 	Plant   plant.Fault // set by tests alone
+
+	// Adjust changes the request options, for trials that switch one
+	// mechanism off; nil for none.
+	Adjust func(*request.Options)
 }
 
 // Adapters returns the adapters that the settings name.
@@ -119,6 +123,9 @@
 	claims := request.NewClaims(d.instance(), d.tables.claim)
 	opts := s.options()
 	opts.Plant = p.Plant
+	if p.Adjust != nil {
+		p.Adjust(&opts)
+	}
 	d.Server = request.NewServer(opts, client, claims, peerAsker{d}, log)
 	d.config = newCurrent(version.Log{Table: d.tables.config, Objects: p.Objects}, p.Plant)
 	mesh := conn.NewMesh(d.Self, conn.DefaultTiming())
--- a/process/fleet.go
+++ b/process/fleet.go
@@ -25,7 +25,7 @@
 	seq     int64
 	boxes   []platform.Box
 	noticed map[string]time.Time // box to deadline
-	classes map[string]request.Class
+	classes map[string]toldClass
 	events  map[string]int64 // box to the last cache event
 	probing map[string]bool
 	demands map[string]heard // daemon to what it has told
@@ -33,6 +33,16 @@
 	toldAt  time.Time
 }
 
+// toldClass is the class of an endpoint that this daemon has told last.
+type toldClass struct {
+	class request.Class
+	at    time.Time
+}
+
+// retell is how long after the last word on an endpoint its watcher tells its
+// class again although it has not changed, for those who missed it.
+const retell = 4 * time.Minute
+
 type heard struct {
 	at      time.Time
 	demands []conn.Demand
@@ -41,7 +51,7 @@
 func newFleet(d *Daemon) *fleet {
 	return &fleet{
 		d: d, log: d.log.WithField("part", "fleet"),
-		noticed: make(map[string]time.Time), classes: make(map[string]request.Class), events: make(map[string]int64),
+		noticed: make(map[string]time.Time), classes: make(map[string]toldClass), events: make(map[string]int64),
 		probing: make(map[string]bool), demands: make(map[string]heard), told: make(map[conn.Demand]bool),
 	}
 }
@@ -129,7 +139,7 @@
 
 // notices reads the platform's reclaim notices.
 func (f *fleet) notices(now time.Time) time.Duration {
-	period := f.d.sharedPeriod(f.d.Settings.Timing.List.Duration) / 2
+	period := f.d.fleetPeriod(f.d.Settings.Timing.List.Duration) / 2
 	ctx, cancel := context.WithTimeout(f.d.ctx, tableTimeout)
 	defer cancel()
 	ns, err := f.d.plat.Cloud.Notices(ctx)
@@ -215,7 +225,8 @@
 	delete(f.probing, box)
 }
 
-// probe asks one endpoint for its load. It reports whether the class changed.
+// probe asks one endpoint for its load. It reports whether the others are to
+// be told of its class.
 func (f *fleet) probe(w *request.Work, t *request.Target) (conn.LoadClass, bool) {
 	ctx, cancel := context.WithTimeout(f.d.ctx, f.d.Settings.Timing.Watch.Duration)
 	defer cancel()
@@ -240,8 +251,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.classes[t.ID]
-	f.classes[t.ID] = class
-	return conn.LoadClass{Box: t.ID, Class: int(class)}, before != class
+	if before.class == class && now.Sub(before.at) < retell {
+		return conn.LoadClass{}, false
+	}
+	f.classes[t.ID] = toldClass{class, now}
+	return conn.LoadClass{Box: t.ID, Class: int(class)}, true
 }
 
 func (f *fleet) cacheEvents(w *request.Work, t *request.Target, since int64, events []conn.CacheEvent) {
--- a/process/lead.go
+++ b/process/lead.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"math"
-	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +25,9 @@
 	log   *logrus.Entry
 	loads *rate.Limiter // orders to load weights
 
+	prices   []platform.Price // read by placeAll alone
+	pricedAt time.Time
+
 	mu     sync.Mutex
 	shards map[string]*shard
 	frozen time.Time // for fault tests: the time that this part believes in
@@ -70,6 +72,7 @@
 	placePeriod  = 500 * time.Millisecond
 	orderLongest = 5 * time.Second // an order to an endpoint takes no longer
 	swapAfter    = 10 * time.Minute
+	pricesLife   = 15 * time.Second
 )
 
 // contends reports whether this daemon is one that tries for a shard's lease.
@@ -87,7 +90,7 @@
 // step renews the leases held, and tries for those that this daemon contends
 // for.
 func (l *lead) step(time.Time) time.Duration {
-	period := l.d.Settings.Timing.Lease.Duration / 4
+	period := l.d.Settings.Timing.Lease.Duration / 3
 	if l.isFrozen() || l.d.draining.Load() {
 		return period
 	}
@@ -194,47 +197,48 @@
 	}
 }
 
-// Leases returns the lease rows that this daemon has seen, by service.
-func (l *lead) leases() []leaseStatus {
+// status returns who holds a shard by the table's word, or by our last if the
+// table does not answer.
+func (l *lead) status(ctx context.Context, key string) leaseStatus {
+	row, err := version.ReadLease(ctx, l.d.tables.report, key)
+	s := l.shard(key)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	var out []leaseStatus
-	for key, s := range l.shards {
-		row := s.lease.Holder()
-		_, mine := s.lease.Held(time.Now())
-		out = append(out, leaseStatus{Service: key, Holder: row.Holder, Epoch: row.Epoch, Mine: mine})
+	if err != nil {
+		row = s.lease.Holder()
 	}
-	slices.SortFunc(out, func(a, b leaseStatus) int {
-		if a.Service < b.Service {
-			return -1
-		}
-		return 1
-	})
-	return out
+	_, mine := s.lease.Held(time.Now())
+	return leaseStatus{Service: key, Holder: row.Holder, Epoch: row.Epoch, Mine: mine}
 }
 
 // placeAll decides and orders for each service whose lease is ours.
-func (l *lead) placeAll(time.Time) time.Duration {
+func (l *lead) placeAll(now time.Time) time.Duration {
 	cfg := l.d.Config()
-	var prices []platform.Price
 	for key, row := range cfg.Rows {
 		s := l.shard(key)
 		if !l.mayStart(s) {
 			continue
 		}
-		if prices == nil {
-			ctx, cancel := context.WithTimeout(l.d.ctx, tableTimeout)
-			prices, _ = l.d.plat.Cloud.Prices(ctx)
-			cancel()
-			if prices == nil {
-				break
-			}
+		if now.Sub(l.pricedAt) >= pricesLife {
+			l.askPrices(now)
+		}
+		if len(l.prices) == 0 {
+			break
 		}
-		l.place(row.Service, s, prices)
+		l.place(row.Service, s, l.prices)
 	}
 	return placePeriod
 }
 
+// askPrices asks for the prices; if the cloud does not answer, the old stay.
+func (l *lead) askPrices(now time.Time) {
+	ctx, cancel := context.WithTimeout(l.d.ctx, tableTimeout)
+	defer cancel()
+	if p, err := l.d.plat.Cloud.Prices(ctx); err == nil {
+		l.prices, l.pricedAt = p, now
+	}
+}
+
 func (l *lead) held(s *shard) (epoch int64, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/process/settings.go
+++ b/process/settings.go
@@ -102,7 +102,7 @@
 	Drain     version.Duration `json:"drain" doc:"how long a planned stop waits for requests in flight before it hands them over"`
 	Lease     version.Duration `json:"lease" doc:"term of a lease"`
 	Watch     version.Duration `json:"watch" doc:"between two looks at an endpoint's load"`
-	List      version.Duration `json:"list" doc:"between two looks at box list and notices, for each two daemons of a zone"`
+	List      version.Duration `json:"list" doc:"between two looks at the box list, for each two daemons of a zone, and twice that often at the notices, for each two daemons of all"`
 	Poll      version.Duration `json:"poll" doc:"between two looks at the configuration log, for each two daemons of a zone"`
 	Hold      version.Duration `json:"hold" doc:"how long there must be a surplus before a box is stopped"`
 }
--- a/process/settings_test.go
+++ b/process/settings_test.go
@@ -97,7 +97,9 @@
 	page, err := os.ReadFile("../docs/OPERATORS.md")
 	require.NoError(t, err)
 	var have []string
-	for _, line := range strings.Split(string(page), "\n") {
+	_, section, _ := strings.Cut(string(page), "## Settings\n")
+	section, _, _ = strings.Cut(section, "\n## ")
+	for _, line := range strings.Split(section, "\n") {
 		if strings.HasPrefix(line, "| `") {
 			have = append(have, line)
 		}
--- a/process/status.go
+++ b/process/status.go
@@ -5,6 +5,8 @@
 import (
 	"context"
 	"net/http"
+	"slices"
+	"strings"
 	"time"
 
 	"streambend.example/platform"
@@ -78,12 +80,13 @@
 			st.add(now, d, row.Service, boxes)
 		}
 	}
-	for _, l := range d.lead.leases() {
-		if r, ok := cfg.Rows[l.Service]; ok && r.Service.Partner == who.Partner {
-			st.Leases = append(st.Leases, l)
-			st.Refused = append(st.Refused, d.lead.refusedStarts(now, l.Service)...)
+	for key, row := range cfg.Rows {
+		if row.Service.Partner == who.Partner {
+			st.Leases = append(st.Leases, d.lead.status(ctx, key))
+			st.Refused = append(st.Refused, d.lead.refusedStarts(now, key)...)
 		}
 	}
+	slices.SortFunc(st.Leases, func(a, b leaseStatus) int { return strings.Compare(a.Service, b.Service) })
 	return st, nil
 }
 
--- a/request/limit.go
+++ b/request/limit.go
@@ -48,6 +48,13 @@
 	l.limit = math.Min(l.limit, l.most)
 }
 
+// Fix sets the limit for good, for comparison with one that adapts.
+func (l *Limiter) Fix(limit int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.limit, l.most = float64(limit), float64(limit)
+}
+
 // Allowed returns how many requests may be at the endpoints.
 func (l *Limiter) Allowed() int {
 	l.mu.Lock()
--- a/request/route_test.go
+++ b/request/route_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -141,3 +142,24 @@
 	c, _ = p.Route(start, request.Need{Plain: true})
 	assert.Equal(t, far, c.Target)
 }
+
+// BenchmarkPoolMemory holds the view of 2,500 endpoints, with as many prefixes
+// remembered as are kept.
+func BenchmarkPoolMemory(b *testing.B) {
+	for b.Loop() {
+		runtime.GC()
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		p := pool(2500)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/2500, "B/endpoint")
+		for i := range 16384 {
+			p.Hit(p.Targets()[i%2500], uint64(i), 0.5)
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		b.ReportMetric(float64(before.HeapAlloc-after.HeapAlloc)/16384, "B/prefix")
+		runtime.KeepAlive(p)
+	}
+}
--- a/request/target.go
+++ b/request/target.go
@@ -80,9 +80,10 @@
 	class    Class
 	batch    int
 	reported int
-	at       time.Time // of the report
-	since    int       // requests sent since the report
-	deadline time.Time // of a leaving box
+	at       time.Time     // of the report
+	life     time.Duration // how long it is believed
+	since    int           // requests sent since the report
+	deadline time.Time     // of a leaving box
 	left     chan struct{}
 	fails    int
 	until    time.Time // ejected until
@@ -90,9 +91,13 @@
 	flights  map[*Flight]struct{}
 }
 
-// reportLife is how long a load report is believed. Older ones fade towards
-// the load assumed of an unknown endpoint, never towards idle.
-const reportLife = 5 * time.Second
+// A load report is believed for reportLife; what a watcher has told, which
+// tells again only of changes, for heardLife. Older ones fade towards the load
+// assumed of an unknown endpoint, never towards idle.
+const (
+	reportLife = 5 * time.Second
+	heardLife  = 5 * time.Minute
+)
 
 // newTarget returns the view of an endpoint of which nothing is known yet.
 func newTarget(e Endpoint, batch int) *Target {
@@ -111,7 +116,7 @@
 	if batch > 0 {
 		t.batch = batch
 	}
-	t.reported, t.at, t.since = load, now, 0
+	t.reported, t.at, t.since, t.life = load, now, 0, reportLife
 	if t.class != Leaving {
 		t.class = ClassOf(t.class, load, t.batch)
 	}
@@ -123,11 +128,12 @@
 func (t *Target) Hear(now time.Time, c Class) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.class == Leaving || c == Leaving || now.Sub(t.at) < reportLife/2 {
+	fresh := t.life == reportLife && now.Sub(t.at) < reportLife/2
+	if t.class == Leaving || c == Leaving || fresh {
 		return
 	}
 	t.class = c
-	t.reported, t.at, t.since = int(assumedShare[c]*float64(t.batch)), now, 0
+	t.reported, t.at, t.since, t.life = int(assumedShare[c]*float64(t.batch)), now, 0, heardLife
 	t.estimate(now)
 }
 
@@ -136,7 +142,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.estimate(now)
-	if now.Sub(t.at) > 2*reportLife && t.class != Leaving {
+	if now.Sub(t.at) > 2*t.life && t.class != Leaving {
 		return Unknown, int(t.load.Load())
 	}
 	return t.class, int(t.load.Load())
@@ -152,8 +158,8 @@
 // estimate brings load up to date; the caller holds the lock.
 func (t *Target) estimate(now time.Time) {
 	est := float64(t.reported + t.since)
-	if age := now.Sub(t.at); age > reportLife {
-		w := math.Min(1, float64(age-reportLife)/float64(reportLife))
+	if age := now.Sub(t.at); age > t.life {
+		w := math.Min(1, float64(age-t.life)/float64(t.life+1))
 		unknown := assumedShare[Unknown] * float64(t.batch)
 		est = (1-w)*est + w*math.Max(est, unknown)
 	}
--- a/request/work.go
+++ b/request/work.go
@@ -98,13 +98,19 @@
 	delete(w.byID, key)
 }
 
+// noLimit stands for no limit at all.
+const noLimit = 1 << 20
+
 // Tick brings everything up to date that changes by time alone. The service's
 // places are shared by so many daemons.
 func (w *Works) Tick(now time.Time, daemons int) {
 	for _, k := range w.All() {
 		k.Pool.Tick(now)
 		batch, _ := k.Pool.Capacity()
-		if batch > 0 {
+		switch {
+		case w.opts.NoLimit:
+			k.Queue.Limit.Fix(noLimit)
+		case batch > 0:
 			k.Queue.Limit.SetCapacity(batch, daemons)
 		}
 		k.Queue.Tick(now)
--- a/version/lease.go
+++ b/version/lease.go
@@ -22,6 +22,19 @@
 	Free   bool   `json:"free,omitempty"`
 }
 
+// ReadLease returns who holds a shard, or an empty row if nobody has yet.
+func ReadLease(ctx context.Context, t platform.Table, shard string) (LeaseRow, error) {
+	var row LeaseRow
+	it, err := t.Get(ctx, platform.Key{Part: leasePart, Sort: shard})
+	if errors.Is(err, platform.ErrNotFound) {
+		return row, nil
+	}
+	if err != nil {
+		return row, err
+	}
+	return row, errors.Wrapf(json.Unmarshal(it.Value, &row), "version: lease %s", shard)
+}
+
 // Lease is one daemon's view of the lease of one shard. No clock is compared
 // between boxes: a holder counts its term from before it wrote, a challenger
 // from after it read, each by its own monotonic clock.
