all: split files that had grown large

Change: links, questions and members stand apart from hub and overlay, the placement from the leases, the notices from the attempts, a trial's events from its run. No behaviour changes.

--- a/cmd/streambend/main.go
+++ b/cmd/streambend/main.go
@@ -1,7 +1,5 @@
 // SPDX-License-Identifier: MIT
 
-// Command streambend serves language-model runners and plain services on
-// reclaimable boxes.
 package main
 
 import (
--- /dev/null
+++ b/conn/ask.go
@@ -0,0 +1,123 @@
+// SPDX-License-Identifier: MIT
+
+package conn
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+)
+
+// AskHandler answers another daemon's question.
+type AskHandler func(ctx context.Context, from, kind string, body []byte) ([]byte, error)
+
+// ask is a question to one daemon, or its answer.
+type ask struct {
+	ID     uint64 `codec:"i"`
+	Kind   string `codec:"k,omitempty"`
+	Body   []byte `codec:"b,omitempty"`
+	Answer bool   `codec:"a,omitempty"`
+	Error  string `codec:"e,omitempty"`
+}
+
+func (h *Hub) takeAsk(l *link, a *ask) {
+	if a.Answer {
+		h.mu.Lock()
+		ch := h.asks[a.ID]
+		delete(h.asks, a.ID)
+		h.mu.Unlock()
+		if ch != nil {
+			ch <- a
+		}
+		return
+	}
+	h.wg.Add(1)
+	go func() {
+		defer h.wg.Done()
+		body, err := h.answer(h.ctx, l.peer.Name, a.Kind, a.Body)
+		reply := &ask{ID: a.ID, Answer: true, Body: body}
+		if err != nil {
+			reply.Error = err.Error()
+		}
+		h.push(l, encode(message{Ask: reply}))
+	}()
+}
+
+func (h *Hub) push(l *link, f []byte) {
+	select {
+	case l.out <- f:
+	case <-l.dead:
+	}
+}
+
+// Ask asks one daemon, over a link opened for it if there is none.
+func (h *Hub) Ask(ctx context.Context, name, kind string, body []byte) ([]byte, error) {
+	var last error
+	for range askRetries {
+		l, err := h.linkTo(ctx, name)
+		if err != nil {
+			last = err
+			continue
+		}
+		b, err := h.askOver(ctx, l, kind, body)
+		if err == nil {
+			return b, nil
+		}
+		last = err
+	}
+	return nil, last
+}
+
+func (h *Hub) askOver(ctx context.Context, l *link, kind string, body []byte) ([]byte, error) {
+	ch := make(chan *ask, 1)
+	h.mu.Lock()
+	h.nextAsk++
+	id := h.nextAsk
+	h.asks[id] = ch
+	h.mu.Unlock()
+	defer func() {
+		h.mu.Lock()
+		delete(h.asks, id)
+		h.mu.Unlock()
+	}()
+	h.push(l, encode(message{Ask: &ask{ID: id, Kind: kind, Body: body}}))
+	select {
+	case a := <-ch:
+		if a.Error != "" {
+			return nil, errors.New(a.Error)
+		}
+		return a.Body, nil
+	case <-l.dead:
+		return nil, errors.New("conn: the link closed")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// linkTo returns the link with a member, and dials it if there is none.
+func (h *Hub) linkTo(ctx context.Context, name string) (*link, error) {
+	h.mu.Lock()
+	l, blocked := h.links[name], h.blocked[name]
+	h.mu.Unlock()
+	if l != nil {
+		return l, nil
+	}
+	if blocked {
+		return nil, errors.New("conn: blocked")
+	}
+	for _, m := range h.Mesh.Members() {
+		if m.Name != name {
+			continue
+		}
+		if err := h.open(m); err != nil {
+			return nil, err
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if l := h.links[name]; l != nil {
+			return l, nil
+		}
+		return nil, errors.New("conn: the link closed")
+	}
+	return nil, errors.Errorf("conn: no member %s", name)
+}
--- /dev/null
+++ b/conn/link.go
@@ -0,0 +1,206 @@
+// SPDX-License-Identifier: MIT
+
+package conn
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+)
+
+// link is one WebSocket to a member.
+type link struct {
+	peer Member
+	ws   *websocket.Conn
+	out  chan []byte
+	dead chan struct{}
+	once sync.Once
+	idle time.Time // when it was last wanted
+}
+
+func (l *link) close() {
+	l.once.Do(func() {
+		close(l.dead)
+		l.ws.CloseNow()
+	})
+}
+
+// sign returns the signature of words under the shared secret.
+func (h *Hub) sign(words ...string) string {
+	mac := hmac.New(sha256.New, h.secret)
+	for _, w := range words {
+		fmt.Fprintf(mac, "%d:%s,", len(w), w)
+	}
+	return hex.EncodeToString(mac.Sum(nil))
+}
+
+// The headers of a link's handshake.
+const (
+	headMember = "Streambend-Member"
+	headNonce  = "Streambend-Nonce"
+	headTime   = "Streambend-Time"
+	headSign   = "Streambend-Sign"
+)
+
+// open dials a member and starts the link.
+func (h *Hub) open(m Member) error {
+	ctx, cancel := context.WithTimeout(h.ctx, dialLimit)
+	defer cancel()
+	nonce := rand.Text()
+	at := strconv.FormatInt(time.Now().UnixMilli(), 10)
+	me := hex.EncodeToString(Marshal(h.self))
+	head := http.Header{headMember: {me}, headNonce: {nonce}, headTime: {at}, headSign: {h.sign("dial", me, nonce, at)}}
+	ws, resp, err := websocket.Dial(ctx, "ws://"+m.Address+PeerPath, &websocket.DialOptions{HTTPClient: h.client, HTTPHeader: head})
+	if err != nil {
+		return errors.Wrap(err, "conn: dial")
+	}
+	peer, err := h.verify("take", resp.Header, nonce)
+	if err != nil {
+		ws.CloseNow()
+		return err
+	}
+	h.run(peer, ws)
+	return nil
+}
+
+// verify checks the signature of the other side and returns who it is.
+func (h *Hub) verify(role string, head http.Header, nonce string) (Member, error) {
+	me, at := head.Get(headMember), head.Get(headTime)
+	if !hmac.Equal([]byte(h.sign(role, me, nonce, at)), []byte(head.Get(headSign))) {
+		return Member{}, errors.New("conn: wrong signature")
+	}
+	ms, err := strconv.ParseInt(at, 10, 64)
+	if err != nil || time.Since(time.UnixMilli(ms)).Abs() > clockSlack {
+		return Member{}, errors.New("conn: signature of another time")
+	}
+	b, err := hex.DecodeString(me)
+	if err != nil {
+		return Member{}, errors.Wrap(err, "conn: member")
+	}
+	var m Member
+	return m, Unmarshal(b, &m)
+}
+
+// ServeHTTP takes a link from another daemon.
+func (h *Hub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	nonce := r.Header.Get(headNonce)
+	peer, err := h.verify("dial", r.Header, nonce)
+	if err != nil {
+		h.log.Warnf("link: refused: %v", err)
+		w.WriteHeader(http.StatusUnauthorized)
+		return
+	}
+	h.mu.Lock()
+	refuse := h.blocked[peer.Name] || h.ctx.Err() != nil
+	h.mu.Unlock()
+	if refuse {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	at := strconv.FormatInt(time.Now().UnixMilli(), 10)
+	me := hex.EncodeToString(Marshal(h.self))
+	w.Header().Set(headMember, me)
+	w.Header().Set(headTime, at)
+	w.Header().Set(headSign, h.sign("take", me, nonce, at))
+	ws, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	h.run(peer, ws)
+}
+
+// run starts the goroutines of a link. Of two links with the same member the
+// newer one stays.
+func (h *Hub) run(peer Member, ws *websocket.Conn) {
+	ws.SetReadLimit(maxFrame)
+	l := &link{peer: peer, ws: ws, out: make(chan []byte, sendQueue), dead: make(chan struct{}), idle: time.Now()}
+	h.mu.Lock()
+	if h.ctx.Err() != nil {
+		h.mu.Unlock()
+		ws.CloseNow()
+		return
+	}
+	if old := h.links[peer.Name]; old != nil {
+		old.close()
+	}
+	h.links[peer.Name] = l
+	h.wg.Add(2)
+	h.mu.Unlock()
+	h.send(h.Mesh.Up(time.Now(), peer))
+	go func() {
+		defer h.wg.Done()
+		h.write(l)
+	}()
+	go func() {
+		defer h.wg.Done()
+		h.read(l)
+		l.close()
+		h.mu.Lock()
+		last := h.links[peer.Name] == l
+		if last {
+			delete(h.links, peer.Name)
+		}
+		h.mu.Unlock()
+		if last {
+			h.Mesh.Down(peer.Name)
+		}
+	}()
+}
+
+func (h *Hub) write(l *link) {
+	for {
+		select {
+		case <-l.dead:
+			return
+		case f := <-l.out:
+			ctx, cancel := context.WithTimeout(h.ctx, dialLimit)
+			err := l.ws.Write(ctx, websocket.MessageBinary, f)
+			cancel()
+			if err != nil {
+				l.close()
+				return
+			}
+			h.sentBytes.Add(int64(len(f)))
+			h.sentFrames.Add(1)
+		}
+	}
+}
+
+func (h *Hub) read(l *link) {
+	for {
+		_, f, err := l.ws.Read(h.ctx)
+		if err != nil {
+			return
+		}
+		h.gotBytes.Add(int64(len(f)))
+		h.receive(l, f)
+	}
+}
+
+func (h *Hub) receive(l *link, f []byte) {
+	now := time.Now()
+	var m message
+	if decode(f, &m) == nil && m.Ask != nil {
+		h.takeAsk(l, m.Ask)
+		return
+	}
+	out, in, err := h.Mesh.Receive(now, l.peer.Name, f)
+	if err != nil {
+		h.log.Warnf("link: frame of %s: %v", l.peer.Name, err)
+		return
+	}
+	h.send(out)
+	for _, d := range in {
+		h.take(now, d)
+	}
+}
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -13,7 +13,6 @@
 
 	"streambend.example/internal/plant"
 	"streambend.example/platform"
-	"streambend.example/process"
 	"streambend.example/request"
 	"streambend.example/version"
 )
@@ -74,12 +73,6 @@
 	return route, move, place
 }
 
-// The times from a reclaim's notice to the end of the box.
-const (
-	noticeTime = 2 * time.Second
-	slowNotice = 8 * time.Second
-)
-
 // trial is one run.
 type trial struct {
 	*world
@@ -183,16 +176,6 @@
 	}
 }
 
-func (w *world) leaving() []platform.Box {
-	var out []platform.Box
-	for _, b := range w.cloud.Boxes() {
-		if b.State == platform.BoxLeaving {
-			out = append(out, b)
-		}
-	}
-	return out
-}
-
 // schedule starts the script's steps.
 func (t *trial) schedule(ctx context.Context, wg *sync.WaitGroup) {
 	for _, step := range t.opts.Script {
@@ -215,153 +198,6 @@
 	}
 }
 
-// reclaim gives notice to all reclaimable boxes of the zones.
-func (t *trial) reclaim(zones ...string) { t.reclaimIn(noticeTime, zones...) }
-
-func (t *trial) reclaimIn(notice time.Duration, zones ...string) {
-	for _, z := range zones {
-		n := t.cloud.Reclaim(time.Now(), notice, func(b platform.Box) bool { return b.Zone == z })
-		t.mu.Lock()
-		t.report.BoxesReclaimed += n
-		t.mu.Unlock()
-		t.say("       zone %s is reclaimed in %s: %d boxes", z, notice, n)
-	}
-}
-
-// changeTries is how often an operator asks for a change again while the store
-// is down, with a pause of changePause.
-const (
-	changeTries = 100
-	changePause = 100 * time.Millisecond
-)
-
-// change confirms a changed intent and measures until it is in force at all
-// daemons: from the moment at which the first one shows it, for it is accepted
-// then, however long the store took to say so.
-func (t *trial) change(ctx context.Context) {
-	s := scaled(t.opts.Boxes)[0]
-	s.MinBoxes++
-	s.MaxBoxes++
-	s.HourlyBound++
-	ds := t.live()
-	var row version.Row
-	for _, d := range ds {
-		if r, err := t.operator(office, d).row(ctx, s.Name); err == nil && r.Rev > row.Rev {
-			row = r
-		}
-	}
-	var wg sync.WaitGroup
-	seen := make([]time.Time, len(ds))
-	for i, d := range ds {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			until(ctx, t.opts.Span, "change in force", func() bool {
-				now, err := t.operator(office, d).row(ctx, s.Name)
-				if t.isGone(d) || err != nil || now.Rev <= row.Rev {
-					return t.isGone(d)
-				}
-				seen[i] = time.Now()
-				return true
-			})
-		}()
-	}
-	c, err := t.operator(office, ds[0]).change(ctx, s)
-	for tries := 0; err != nil && tries < changeTries && ctx.Err() == nil; tries++ {
-		time.Sleep(changePause)
-		c, err = t.operator(office, t.live()[0]).change(ctx, s)
-	}
-	wg.Wait()
-	if err != nil {
-		t.say("       change of the configuration failed: %v", err)
-	}
-	t.inForceAt(ds, seen, c.Accepted)
-}
-
-// inForceAt takes in when each daemon first showed a change.
-func (t *trial) inForceAt(ds []*process.Daemon, seen []time.Time, version int64) {
-	var first, last time.Time
-	missing := 0
-	for i, at := range seen {
-		switch {
-		case at.IsZero() && !t.isGone(ds[i]):
-			missing++
-		case at.IsZero():
-		case first.IsZero() || at.Before(first):
-			first = at
-		}
-		if at.After(last) {
-			last = at
-		}
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if first.IsZero() {
-		return
-	}
-	t.changes++
-	took := last.Sub(first)
-	if missing > 0 {
-		took = t.opts.Span
-	}
-	t.inForce = max(t.inForce, took)
-	t.say("       version %d in force at all daemons %.0f ms after it was accepted", version, took.Seconds()*1000)
-}
-
-func (w *world) isGone(d *process.Daemon) bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.gone[d]
-}
-
-// plannedStop stops the last daemon as planned.
-func (t *trial) plannedStop(ctx context.Context) {
-	ds := t.live()
-	d := ds[len(ds)-1]
-	if len(ds) < 2 || t.balancer.stopping(d) {
-		return
-	}
-	t.balancer.plan(d)
-	t.say("       planned stop of %s", d.Self.Name)
-	d.Stop(ctx)
-	t.markGone(d)
-	t.say("       %s has stopped", d.Self.Name)
-}
-
-// watchVersions counts how often a daemon's version goes back.
-func (t *trial) watchVersions(ctx context.Context) func() int {
-	var mu sync.Mutex
-	reverts := 0
-	if t.opts.DaemonNet != nil {
-		return func() int { return 0 } // nothing but the daemons shall be measured
-	}
-	seen := make(map[*process.Daemon]int64)
-	t.wg.Add(1)
-	go func() {
-		defer t.wg.Done()
-		for ctx.Err() == nil {
-			for _, d := range t.live() {
-				row, err := t.operator(office, d).row(ctx, "llm")
-				if err != nil {
-					continue
-				}
-				mu.Lock()
-				if row.Rev < seen[d] {
-					reverts++
-				}
-				seen[d] = row.Rev
-				mu.Unlock()
-			}
-			time.Sleep(50 * time.Millisecond)
-		}
-	}()
-	return func() int {
-		mu.Lock()
-		defer mu.Unlock()
-		return reverts
-	}
-}
-
 // finish fills the report in.
 func (t *trial) finish(l *load, reverts func() int) {
 	r, k := t.report, t.ledger.Tally()
--- /dev/null
+++ b/process/place.go
@@ -0,0 +1,267 @@
+// SPDX-License-Identifier: MIT
+
+package process
+
+import (
+	"context"
+	"math"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"streambend.example/conn"
+	"streambend.example/platform"
+	"streambend.example/version"
+)
+
+// placeAll decides and orders for each service whose lease is ours.
+func (l *lead) placeAll(now time.Time) time.Duration {
+	cfg := l.d.Config()
+	for key, row := range cfg.Rows {
+		s := l.shard(key)
+		if !l.mayStart(s) {
+			continue
+		}
+		if now.Sub(l.pricedAt) >= pricesLife {
+			l.askPrices(now)
+		}
+		if len(l.prices) == 0 {
+			break
+		}
+		l.place(row.Service, s, l.prices)
+	}
+	return placePeriod
+}
+
+// askPrices asks for the prices; if the cloud does not answer, the old stay.
+func (l *lead) askPrices(now time.Time) {
+	ctx, cancel := context.WithTimeout(l.d.ctx, tableTimeout)
+	defer cancel()
+	if p, err := l.d.plat.Cloud.Prices(ctx); err == nil {
+		l.prices, l.pricedAt = p, now
+	}
+}
+
+// mayStart reports whether this daemon may start boxes of a shard: as the
+// holder of its lease or, once the table has been silent for a term, as one
+// that contends for it. Without the lease nothing is stopped and no order goes
+// to an endpoint; a start is harmless, since whoever orders for the same slot
+// uses the same token.
+func (l *lead) mayStart(s *shard) bool {
+	if _, ok := l.held(s); ok {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !s.blind.IsZero() && time.Since(s.blind) > s.lease.Term
+}
+
+// place decides for one service and carries the decision out.
+func (l *lead) place(svc version.Service, s *shard, prices []platform.Price) {
+	now := time.Now()
+	in := l.input(now, svc, s, prices)
+	dec := version.Place(now, in, version.Policy(l.d.Settings.Place))
+	l.mu.Lock()
+	s.last = dec
+	l.mu.Unlock()
+	if len(dec.Starts)+len(dec.Stops) > 0 {
+		l.log.Infof("place: %s wants %d, has %d: %s; starts %d, stops %v",
+			svc.Key(), dec.Want, dec.Present, dec.Reason, len(dec.Starts), dec.Stops)
+	}
+	for _, o := range dec.Starts {
+		l.start(svc, s, o)
+	}
+	if _, held := l.held(s); !held {
+		return
+	}
+	for _, id := range dec.Stops {
+		l.retire(now, svc, s, id)
+	}
+	l.loadWeights(svc, s, in.Boxes)
+}
+
+// input gathers what the policy decides from.
+func (l *lead) input(now time.Time, svc version.Service, s *shard, prices []platform.Price) version.PlaceInput {
+	boxes := l.boxesOf(now, svc, s)
+	in := version.PlaceInput{
+		Service: svc, Prices: prices, Boxes: boxes, Refused: s.refused, Loss: lossShare(s.lost, boxes),
+		Swap: swapAfter, Hold: l.d.Settings.Timing.Hold.Duration, Dear: s.dear,
+	}
+	demand := l.d.fleet.demandOf(now, svc.Key())
+	in.Need = s.need.boxes(now, float64(demand)/float64(svc.PerBox))
+	alive := 0
+	for _, b := range boxes {
+		if b.State > platform.BoxLive {
+			continue
+		}
+		alive++
+		if !version.IsDear(in, b) {
+			delete(s.dear, b.ID)
+		} else if _, ok := s.dear[b.ID]; !ok {
+			s.dear[b.ID] = now
+		}
+	}
+	total, _ := version.Target(svc, in.Need)
+	switch {
+	case alive <= total:
+		s.surplus = time.Time{}
+	case s.surplus.IsZero():
+		s.surplus = now
+	}
+	in.Surplus = s.surplus
+	return in
+}
+
+// boxesOf returns the service's boxes: the list, what we ordered and the list
+// does not show yet, and what we know to be leaving.
+func (l *lead) boxesOf(now time.Time, svc version.Service, s *shard) []platform.Box {
+	var out []platform.Box
+	listed := make(map[string]bool)
+	for _, b := range l.d.fleet.snapshot() {
+		if b.Partner != svc.Partner || b.Service != svc.Name {
+			continue
+		}
+		listed[b.ID] = true
+		if _, stopping := s.stopping[b.ID]; stopping || l.d.fleet.leaves(b.ID) {
+			b.State = max(b.State, platform.BoxLeaving)
+		}
+		if b.State >= platform.BoxLeaving && b.Reclaimable && !s.seenGone[b.ID] {
+			s.seenGone[b.ID] = true
+			s.lost[b.Zone]++
+		}
+		out = append(out, b)
+	}
+	for id, o := range s.ordered {
+		if listed[id] || now.Sub(o.at) > orderedLife {
+			delete(s.ordered, id)
+			continue
+		}
+		out = append(out, o.box)
+	}
+	return out
+}
+
+// leaves reports whether a box is known to leave.
+func (f *fleet) leaves(box string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, ok := f.noticed[box]
+	return ok
+}
+
+// lossShare turns losses into a share of the zone's boxes; the counts fade.
+func lossShare(lost map[string]float64, boxes []platform.Box) map[string]float64 {
+	const fade = 0.9995 // of a placement period
+	have := make(map[string]float64)
+	for _, b := range boxes {
+		have[b.Zone]++
+	}
+	out := make(map[string]float64)
+	for z, n := range lost {
+		lost[z] = n * fade
+		out[z] = n / math.Max(1, have[z])
+	}
+	return out
+}
+
+// start orders one box. The token is the same whoever orders for the same
+// slot, so two daemons that both believe they hold the lease start one box.
+func (l *lead) start(svc version.Service, s *shard, o platform.StartOrder) {
+	kind := version.BoxKind{Zone: o.Zone, Class: o.Class, Reclaimable: o.Reclaimable}
+	for range maxGenerations {
+		if !l.mayStart(s) {
+			l.log.Infof("place: %s not ordered, the lease is over", svc.Key())
+			return
+		}
+		ctx, cancel := context.WithTimeout(l.d.ctx, orderLongest)
+		b, err := l.d.plat.Cloud.Start(ctx, o)
+		cancel()
+		if errors.Is(err, platform.ErrRefused) {
+			s.backoff[kind] = min(max(2*s.backoff[kind], refuseFirst), refuseMost)
+			l.mu.Lock()
+			s.refused[kind] = time.Now().Add(s.backoff[kind])
+			l.mu.Unlock()
+			l.log.Infof("place: %s refused in %s (%s, reclaimable %t), again in %s", svc.Key(), kind.Zone, kind.Class, kind.Reclaimable, s.backoff[kind])
+			return
+		}
+		if err != nil {
+			l.log.Warnf("place: %s start %s: %v", svc.Key(), o.Token, err)
+			return
+		}
+		if b.State >= platform.BoxLeaving {
+			o.Token = version.NextGeneration(o.Token)
+			continue
+		}
+		delete(s.backoff, kind)
+		s.ordered[b.ID] = orderedBox{box: b, at: time.Now()}
+		l.log.Infof("place: %s starts %s in %s, %.2f an hour", svc.Key(), b.ID, o.Zone, b.Price)
+		return
+	}
+}
+
+// retire takes a box out of use: it gets no new work, and ends once what runs
+// there has had time to finish.
+func (l *lead) retire(now time.Time, svc version.Service, s *shard, id string) {
+	wait := l.d.Settings.Timing.Drain.Duration
+	s.stopping[id] = now
+	l.d.fleet.found(now, conn.Notice{Box: id, Deadline: now.Add(wait)})
+	time.AfterFunc(wait, func() {
+		epoch, held := l.held(s)
+		if !held {
+			return // the next holder finds the box leaving and ends it
+		}
+		ctx, cancel := context.WithTimeout(l.d.ctx, orderLongest)
+		defer cancel()
+		if err := l.d.plat.Cloud.Stop(ctx, id, epoch); err != nil {
+			l.log.Warnf("place: %s stop %s: %v", svc.Key(), id, err)
+		}
+	})
+}
+
+// loadWeights orders new boxes to load the service's model, no faster than
+// the weight store allows. An engine that does not check fences gets its order
+// only when every order of an earlier holder must be over.
+func (l *lead) loadWeights(svc version.Service, s *shard, boxes []platform.Box) {
+	if svc.Kind != version.Model || svc.Model == "" {
+		return
+	}
+	term := l.d.Settings.Timing.Lease.Duration
+	for _, b := range boxes {
+		if b.State != platform.BoxLive || b.Address == "" || s.loaded[b.ID] {
+			continue
+		}
+		epoch, held := l.held(s)
+		settled := epoch == 1 || time.Since(s.since) > term+orderLongest
+		if !held || !svc.ChecksFence && !settled || !l.loads.Allow() {
+			return
+		}
+		ctx, cancel := context.WithTimeout(l.d.ctx, orderLongest)
+		err := l.d.Server.Client.Order(ctx, b.Address, epoch, svc.Model, "serve")
+		cancel()
+		if err != nil {
+			l.log.Infof("place: %s order to %s: %v", svc.Key(), b.ID, err)
+			continue
+		}
+		s.loaded[b.ID] = true
+	}
+}
+
+// forecast turns the demand seen into boxes needed: up at once, down slowly.
+type forecast struct {
+	level float64
+	at    time.Time
+}
+
+const (
+	demandHeadroom = 1.2
+	demandHalfLife = 2 * time.Minute
+)
+
+func (f *forecast) boxes(now time.Time, seen float64) int {
+	if !f.at.IsZero() {
+		f.level *= math.Pow(0.5, now.Sub(f.at).Seconds()/demandHalfLife.Seconds())
+	}
+	f.at = now
+	f.level = math.Max(f.level, seen)
+	return int(math.Ceil(f.level * demandHeadroom))
+}
