request: mark a whole wave as leaving before any stream moves

The resumed streams found nothing cached: the KV cache had gone to a box of the same zone whose own notice was handled a moment later, so the stream was then sent elsewhere. Change: notices are taken in and told as lists; all boxes are marked before the first stream is looked at; exports wait 5% of the notice, 100 ms at the most, for what else comes; the export goes where the prompt's head belongs next.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -54,6 +54,7 @@
 	waiting  waitHeap
 	arrivals int
 	cache    *simplelru.LRU[uint64, string] // block hash to cache key
+	held     map[uint64]int                 // blocks of running requests, which stay
 	reports  []loadReport
 	events   []cacheEvent
 	epoch    int64
@@ -62,6 +63,7 @@
 // NewEngine starts an engine on a port of its own.
 func NewEngine(n platform.Network, name string, cfg EngineConfig, ledger *Ledger) *Engine {
 	e := &Engine{client: platform.HTTPClient(n, 0), cfg: cfg, name: name, ledger: ledger, done: make(chan struct{}), prompt: make(chan struct{}, 1)}
+	e.held = make(map[uint64]int)
 	e.cache, _ = simplelru.NewLRU(cfg.CacheBlocks, func(_ uint64, key string) { e.publish(key) })
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/completions", e.serveCompletion)
--- a/process/current.go
+++ b/process/current.go
@@ -248,9 +248,7 @@
 	if p.Config != nil || len(p.Entries) > 0 {
 		d.judgeReady(now)
 	}
-	for _, n := range p.Notices {
-		d.fleet.notice(now, n)
-	}
+	d.fleet.notice(now, p.Notices)
 	for _, l := range p.Loads {
 		d.fleet.hear(now, l)
 	}
--- a/process/fleet.go
+++ b/process/fleet.go
@@ -80,22 +80,22 @@
 	now := time.Now()
 	f.mu.Lock()
 	boxes := f.boxes
-	noticed := make(map[string]time.Time, len(f.noticed))
+	var noticed []request.Leave
 	for b, t := range f.noticed {
-		noticed[b] = t
+		noticed = append(noticed, request.Leave{Box: b, Deadline: t})
 	}
 	f.mu.Unlock()
+	var listed []conn.Notice
 	cfg := f.d.Config()
 	for _, row := range cfg.Rows {
 		w := f.d.Server.Works.Get(&row.Service)
 		for _, b := range w.Pool.Sync(boxes) {
-			f.found(now, conn.Notice{Box: b.ID, Deadline: b.Deadline})
+			listed = append(listed, conn.Notice{Box: b.ID, Deadline: b.Deadline})
 		}
 	}
+	f.found(now, listed...)
 	// A notice may have come before its box was known here.
-	for b, t := range noticed {
-		f.d.Server.Notice(now, t, b)
-	}
+	f.d.Server.Notice(now, noticed)
 }
 
 // snapshot returns the boxes as last listed.
@@ -108,20 +108,24 @@
 // noticeKept is how long a notice is remembered past its deadline.
 const noticeKept = 5 * time.Minute
 
-// found takes in a notice that this daemon has found itself, and tells the
-// others if it is news.
-func (f *fleet) found(now time.Time, n conn.Notice) {
-	if f.notice(now, n) {
-		f.d.Hub.Tell(conn.Payload{Notices: []conn.Notice{n}})
+// found takes in notices that this daemon has found itself, and tells the
+// others of what is news.
+func (f *fleet) found(now time.Time, ns ...conn.Notice) {
+	if fresh := f.notice(now, ns); len(fresh) > 0 {
+		f.d.Hub.Tell(conn.Payload{Notices: fresh})
 	}
 }
 
-// notice takes a reclaim notice in and reports whether it is news.
-func (f *fleet) notice(now time.Time, n conn.Notice) bool {
+// notice takes reclaim notices in and returns those that are news.
+func (f *fleet) notice(now time.Time, ns []conn.Notice) (fresh []conn.Notice) {
+	var leaves []request.Leave
 	f.mu.Lock()
-	_, old := f.noticed[n.Box]
-	if !old {
-		f.noticed[n.Box] = n.Deadline
+	for _, n := range ns {
+		if _, old := f.noticed[n.Box]; !old {
+			f.noticed[n.Box] = n.Deadline
+			fresh = append(fresh, n)
+			leaves = append(leaves, request.Leave{Box: n.Box, Deadline: n.Deadline})
+		}
 	}
 	for b, t := range f.noticed {
 		if now.Sub(t) > noticeKept {
@@ -129,12 +133,11 @@
 		}
 	}
 	f.mu.Unlock()
-	if old {
-		return false
+	for _, n := range fresh {
+		f.log.Infof("notice: %s leaves in %s", n.Box, n.Deadline.Sub(now).Round(time.Millisecond))
 	}
-	f.log.Infof("notice: %s leaves in %s", n.Box, n.Deadline.Sub(now).Round(time.Millisecond))
-	f.d.Server.Notice(now, n.Deadline, n.Box)
-	return true
+	f.d.Server.Notice(now, leaves)
+	return fresh
 }
 
 // notices reads the platform's reclaim notices.
@@ -146,9 +149,11 @@
 	if err != nil {
 		return period
 	}
+	var found []conn.Notice
 	for _, n := range ns {
-		f.found(time.Now(), conn.Notice{Box: n.Box, Deadline: n.Deadline})
+		found = append(found, conn.Notice{Box: n.Box, Deadline: n.Deadline})
 	}
+	f.found(time.Now(), found...)
 	return period
 }
 
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -100,6 +100,9 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f := &Flight{answer: r.a, pinned: r.r.Unrepeatable, cancel: cancel}
+	if r.r.IsModel() {
+		f.prefix = r.r.Prefix()
+	}
 	c.Target.Begin(f)
 	defer c.Target.End(f)
 	if _, leaving := c.Target.Leaving(); leaving {
--- a/request/move.go
+++ b/request/move.go
@@ -66,6 +66,8 @@
 	// cutShare is the share of the notice within which all others are cut:
 	// their prefill elsewhere shall not come all at once, and not too late.
 	cutShare = 0.5
+	// waveSettle is how long an export waits for further notices.
+	waveSettle = 100 * time.Millisecond
 	// exportMin is the context below which computing again costs less than
 	// the calls of an export.
 	exportMin = 128
@@ -87,9 +89,12 @@
 	// The dearest first: they get the export's bandwidth.
 	slices.SortStableFunc(rest, func(a, b int) int { return cmp.Compare(stakes[b].Context, stakes[a].Context) })
 	window := time.Duration(cutShare * float64(notice))
+	// The notices of a wave come one after the other; an export that waits a
+	// moment does not go to the next box of the same wave.
+	settle := min(waveSettle, notice/20)
 	var exported time.Duration
 	for n, i := range rest {
-		moves[i] = Move{Kind: ResumeTokens, At: now.Add(window * time.Duration(n) / time.Duration(len(rest)))}
+		moves[i] = Move{Kind: ResumeTokens, At: now.Add(settle + window*time.Duration(n)/time.Duration(len(rest)))}
 		switch p.Policy {
 		case MoveRestart:
 			moves[i].Kind = StartAgain
@@ -97,14 +102,17 @@
 		case MoveResume:
 			continue
 		}
-		if p.Transfer <= 0 || (stakes[i].Context < exportMin && p.Policy != MoveExport) {
+		// A stream whose prompt is still being computed has no context yet;
+		// the export waits for it, and computing it again would cost it all.
+		known := stakes[i].Context > 0
+		if p.Transfer <= 0 || (known && stakes[i].Context < exportMin && p.Policy != MoveExport) {
 			continue
 		}
 		d := time.Duration(float64(stakes[i].Context) / p.Transfer * float64(time.Second))
 		if exported+d > window && p.Policy != MoveExport {
 			continue
 		}
-		moves[i] = Move{Kind: ExportKV, At: now.Add(exported)}
+		moves[i] = Move{Kind: ExportKV, At: now.Add(settle + exported)}
 		exported += d
 	}
 	return moves
@@ -120,6 +128,7 @@
 // Flight is one attempt that is under way at an endpoint.
 type Flight struct {
 	answer *Answer
+	prefix uint64 // of the prompt, 0 for a plain call
 	pinned bool
 	cancel context.CancelCauseFunc
 
--- a/request/notice.go
+++ b/request/notice.go
@@ -7,34 +7,55 @@
 	"time"
 
 	"streambend.example/internal/plant"
-	"streambend.example/version"
 )
 
-// Notice brings the streams off an endpoint that will be gone at the deadline.
-// It reports whether the notice was news.
-func (s *Server) Notice(now, deadline time.Time, box string) bool {
-	w, t := s.Works.Find(box)
-	if t == nil {
-		return false
-	}
+// Leave tells that a box will be gone at a deadline.
+type Leave struct {
+	Box      string
+	Deadline time.Time
+}
+
+// departure is an endpoint that has just been marked as leaving.
+type departure struct {
+	work     *Work
+	target   *Target
+	deadline time.Time
+	flights  []*Flight
+}
+
+// Notice brings the streams off endpoints that leave. All are marked before any
+// stream moves, so that none moves to another that is about to leave.
+func (s *Server) Notice(now time.Time, leaves []Leave) {
 	if s.opts.Plant == plant.RouteToLeaving {
-		return true
+		return
 	}
-	flights, fresh := t.Leave(deadline)
-	if !fresh {
-		return false
+	var ds []departure
+	for _, l := range leaves {
+		w, t := s.Works.Find(l.Box)
+		if t == nil {
+			continue
+		}
+		if flights, fresh := t.Leave(l.Deadline); fresh {
+			ds = append(ds, departure{w, t, l.Deadline, flights})
+		}
 	}
-	stakes := make([]Stake, len(flights))
-	for i, f := range flights {
+	for _, d := range ds {
+		s.depart(now, d)
+	}
+}
+
+// depart decides for the streams of one endpoint.
+func (s *Server) depart(now time.Time, d departure) {
+	stakes := make([]Stake, len(d.flights))
+	for i, f := range d.flights {
 		stakes[i] = f.Stake(now)
 	}
-	moves := Triage(now, deadline, stakes, MoveParams{Policy: s.opts.Move, Transfer: s.opts.Transfer})
+	moves := Triage(now, d.deadline, stakes, MoveParams{Policy: s.opts.Move, Transfer: s.opts.Transfer})
 	for i, m := range moves {
-		s.log.Infof("move: %s off %s in %s: %s, context %d, left %d, at +%s",
-			flights[i].answer.ID, box, deadline.Sub(now).Round(time.Millisecond), m.Kind, stakes[i].Context, stakes[i].Left, m.At.Sub(now))
-		s.schedule(now, w, t, flights[i], m)
+		s.log.Infof("move: %s off %s in %s: %s, context %d, left %d, at +%s", d.flights[i].answer.ID, d.target.ID,
+			d.deadline.Sub(now).Round(time.Millisecond), m.Kind, stakes[i].Context, stakes[i].Left, m.At.Sub(now))
+		s.schedule(now, d.work, d.target, d.flights[i], m)
 	}
-	return true
 }
 
 // schedule cuts one stream when its time has come.
@@ -48,17 +69,37 @@
 	}
 }
 
+// awaitPrompt returns the stream's content once the engine has told the
+// prompt's tokens, or as it is when half of the notice is over.
+func (s *Server) awaitPrompt(f *Flight, now, deadline time.Time) Snapshot {
+	ctx, cancel := context.WithTimeout(s.alive, deadline.Sub(now)/2)
+	defer cancel()
+	changed, stop := f.answer.Follow()
+	defer stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return f.answer.Snapshot()
+		case <-changed:
+		}
+		if snap := f.answer.Snapshot(); len(snap.Prompt) > 0 || snap.Done {
+			return snap
+		}
+	}
+}
+
 // export has another engine pull the stream's KV cache and cuts the stream
 // over to it; without one the stream is resumed from its tokens.
 func (s *Server) export(w *Work, t *Target, f *Flight) {
-	snap := f.answer.Snapshot()
-	need := Need{Prefix: t.hash ^ uint64(len(snap.Tokens)) | 1, Avoid: t, Policy: RouteLeast, Weigh: version.WeighLatency}
+	deadline, _ := t.Leaving()
+	snap := s.awaitPrompt(f, time.Now(), deadline)
+	// Where the prompt's head belongs next, part of the cache may be already.
+	need := Need{Prefix: f.prefix, Prompt: len(snap.Prompt), PrefillRate: w.Speed.Prefill(), Avoid: t}
 	c, ok := w.Pool.Route(time.Now(), need)
 	if !ok || len(snap.Prompt) == 0 {
 		f.Cut(nil, false)
 		return
 	}
-	deadline, _ := t.Leaving()
 	ctx, cancel := context.WithDeadline(s.alive, deadline)
 	defer cancel()
 	err := s.Client.ImportKV(ctx, c.Target.Address, t.Address, "move", append(snap.Prompt, snap.Tokens...))
