request: eject slow endpoints

Cause: an engine that answers, but at a tenth of the others' speed, kept its whole share: only silence, cuts and refusals were seen. Change: an endpoint whose answers come on average at four times the service's usual pace is ejected like one that fails, and let back in gradually. Figures (virtual time, 4 engines, one at a tenth of the speed, 200 requests): 49 of them went to it before, fewer than 25 after; once it is well again it gets more than 25 of the next 200. Cache events have a test too.

--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -34,6 +34,7 @@
 	Short      bool // ends with the end marker after half the tokens
 	BlackHole  bool // takes requests and never answers
 	Refuse     bool // answers 503 before starting
+	SlowTimes  int  // takes so many times as long for each token
 }
 
 // Engine is a model engine with continuous batching.
@@ -201,7 +202,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	full := float64(e.running) / float64(e.cfg.Batch)
-	return time.Duration(float64(e.cfg.Step) * (1 + e.cfg.Crowd*full))
+	return time.Duration(float64(e.cfg.Step) * (1 + e.cfg.Crowd*full) * float64(max(e.fault.SlowTimes, 1)))
 }
 
 // pause waits d, or less if the request or the engine ends.
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -333,6 +333,9 @@
 		// Not at the first token: an endpoint that begins every answer and
 		// ends none would never be ejected.
 		t.Succeed()
+		if pace, ok := r.pace(now); ok && t.Paced(now, pace, r.work.Speed.Pace(!r.r.IsModel())) {
+			r.log.Warnf("eject: %s of %s is slow, %s where %s is usual", t.ID, r.work.Pool.Service, pace, r.work.Speed.Pace(!r.r.IsModel()))
+		}
 	case EndedUnsent, EndedBroken:
 		if _, leaving := t.Leaving(); !leaving && t.Fail(now, e == EndedUnsent) {
 			r.log.Warnf("eject: %s of %s after %s", t.ID, r.work.Pool.Service, e)
@@ -343,6 +346,19 @@
 	}
 }
 
+// pace returns how long the endpoint took for a token, or for a plain call;
+// false for an answer that came from several endpoints or is too short.
+func (r *run) pace(now time.Time) (time.Duration, bool) {
+	if !r.r.IsModel() {
+		return now.Sub(r.started), true
+	}
+	n := r.a.emitted()
+	if r.attempts > 1 || n < 4 {
+		return 0, false
+	}
+	return now.Sub(r.a.firstAt()) / time.Duration(n-1), true
+}
+
 // again prepares the next attempt.
 func (r *run) again(ctx context.Context, e Ending, v Verdict, t *Target) {
 	switch e {
--- a/request/limit.go
+++ b/request/limit.go
@@ -185,6 +185,16 @@
 	return time.Duration(sec * float64(time.Second))
 }
 
+// Pace returns the usual time of a token, or of a plain call, or 0.
+func (s *Speed) Pace(plain bool) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if plain {
+		return time.Duration(s.whole * float64(time.Second))
+	}
+	return time.Duration(s.token * float64(time.Second))
+}
+
 // Prefill returns the measured prompt tokens a second, or 0.
 func (s *Speed) Prefill() float64 {
 	s.mu.Lock()
--- a/request/route_test.go
+++ b/request/route_test.go
@@ -112,6 +112,21 @@
 	assert.Equal(t, 15, load)
 }
 
+func TestCacheEventsOnlyLowerWhatIsExpected(t *testing.T) {
+	p := pool(3)
+	c, _ := p.Route(start, need(7919))
+	p.Hit(c.Target, 7919, 0.8)
+	before, _ := p.Route(start, need(7919))
+	assert.InDelta(t, 0.8, before.Hit, 0.001)
+	p.Evicted(c.Target, 7919)
+	evicted, _ := p.Route(start, need(7919))
+	assert.Less(t, evicted.Hit, before.Hit)
+	p.Gap(c.Target)
+	gap, _ := p.Route(start, need(7919))
+	assert.Less(t, gap.Hit, evicted.Hit)
+	assert.Equal(t, before.Target, gap.Target, "an expectation moves the choice only when another is better")
+}
+
 func TestReturnIsGradual(t *testing.T) {
 	p := pool(2)
 	a := p.Targets()[0]
--- a/request/server_test.go
+++ b/request/server_test.go
@@ -195,6 +195,33 @@
 	})
 }
 
+// TestSlowEngineIsEjectedAndLetBackIn gives one of four engines a tenth of the
+// speed, and later its own again.
+func TestSlowEngineIsEjectedAndLetBackIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOffice([]standin.EngineFault{{SlowTimes: 10}, {}, {}, {}})
+		defer o.close()
+		s := o.start("a")
+		send := func(from, to int) {
+			for i := from; i < to; i++ {
+				text, err := answer(s, newRequest("digest", fmt.Sprint("r", i), ""))
+				require.NoError(t, err)
+				require.Equal(t, want(fmt.Sprint("r", i)), text)
+				s.Works.Tick(time.Now(), 1)
+			}
+		}
+		send(0, 200)
+		slow := o.ledger.Served("0")
+		assert.Positive(t, slow)
+		assert.Less(t, slow, 25, "of 200, where an even share is 50")
+		o.engines[0].SetFault(standin.EngineFault{})
+		time.Sleep(time.Minute)
+		s.Works.Tick(time.Now(), 1)
+		send(200, 400)
+		assert.Greater(t, o.ledger.Served("0")-slow, 25)
+	})
+}
+
 // claimStep is one step of a script around unrepeatable requests.
 type claimStep struct {
 	Do    string
--- a/request/target.go
+++ b/request/target.go
@@ -88,6 +88,8 @@
 	fails    int
 	until    time.Time // ejected until
 	ejected  time.Duration
+	pace     time.Duration // of its answers lately: a token's, or a plain call's
+	paced    int           // answers that pace is made of
 	flights  map[*Flight]struct{}
 }
 
@@ -269,6 +271,27 @@
 	}
 }
 
+// An endpoint is slow if slowAfter answers or more came on average at slowTimes
+// the service's usual pace. A full batch is about twice as slow as an empty one.
+const (
+	slowAfter = 4
+	slowTimes = 4
+)
+
+// Paced takes in the pace of a whole answer, beside the service's usual one,
+// and reports whether the endpoint is ejected as slow.
+func (t *Target) Paced(now time.Time, pace, usual time.Duration) bool {
+	t.mu.Lock()
+	t.paced++
+	t.pace += (pace - t.pace) / time.Duration(min(t.paced, slowAfter))
+	slow := usual > 0 && t.paced >= slowAfter && t.pace > slowTimes*usual
+	if slow {
+		t.pace, t.paced = 0, 0
+	}
+	t.mu.Unlock()
+	return slow && t.Fail(now, true)
+}
+
 // Return lets an endpoint back in whose ejection is over. It reports whether
 // it did.
 func (t *Target) Return(now time.Time) bool {
