--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"sync"
@@ -13,6 +14,7 @@
 
 	"streambend.example/internal/plant"
 	"streambend.example/platform"
+	"streambend.example/process"
 	"streambend.example/request"
 	"streambend.example/version"
 )
@@ -249,6 +251,11 @@
 	t.say("\ncurl -N http://%s/v1/completions -H 'Authorization: Bearer %s' -d '{\"model\":\"quote-explainer\",\"prompt\":\"why did it move\",\"max_tokens\":20,\"stream\":true}'", a.Callers, token("caller", office, "mobile-app"))
 	t.say("curl http://%s/portal/item/7 -H 'Authorization: Bearer %s'", a.Callers, token("caller", office, "brokers"))
 	t.say("curl http://%s/v1/status -H 'Authorization: Bearer %s'", a.Operators, token("operator", office, "ops"))
+	s := t.settings(len(t.daemons), "silom", t.storeURL, t.cloudURL)
+	s.Listen = process.Listen{Callers: "127.0.0.1:18080", Operators: "127.0.0.1:18081", Peers: "127.0.0.1:18082"}
+	if b, err := json.Marshal(s); err == nil {
+		t.say("\nsettings of one more daemon, for streambend serve in a process of its own:\n%s", b)
+	}
 	t.say("\nstop with Ctrl-C")
 	<-ctx.Done()
 }
