all: take out what nothing calls, split two files

Cause: a last read of the change. Lease.Until, Hub.Block with its map, and two parts of the cloud stand-in had no caller; two files were over 400 lines. No behaviour, bound or test changes.

--- a/conn/ask.go
+++ b/conn/ask.go
@@ -97,14 +97,11 @@
 // linkTo returns the link with a member, and dials it if there is none.
 func (h *Hub) linkTo(ctx context.Context, name string) (*link, error) {
 	h.mu.Lock()
-	l, blocked := h.links[name], h.blocked[name]
+	l := h.links[name]
 	h.mu.Unlock()
 	if l != nil {
 		return l, nil
 	}
-	if blocked {
-		return nil, errors.New("conn: blocked")
-	}
 	for _, m := range h.Mesh.Members() {
 		if m.Name != name {
 			continue
--- a/conn/hub.go
+++ b/conn/hub.go
@@ -58,7 +58,6 @@
 	wanting map[string]time.Time // since when a link is missing
 	asks    map[uint64]chan *ask
 	nextAsk uint64
-	blocked map[string]bool // for fault tests: no link with these
 }
 
 type dialState struct {
@@ -73,7 +72,7 @@
 	h := &Hub{
 		Mesh: mesh, self: self, secret: []byte(secret), log: log.WithField("part", "link"), take: take, answer: answer,
 		client: platform.HTTPClient(n, 0), links: make(map[string]*link), dialing: make(map[string]*dialState), wanting: make(map[string]time.Time),
-		asks: make(map[uint64]chan *ask), blocked: make(map[string]bool),
+		asks: make(map[uint64]chan *ask),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
 	h.wg.Add(1)
@@ -111,16 +110,6 @@
 	return Traffic{SentBytes: h.sentBytes.Load(), SentFrames: h.sentFrames.Load(), ReceivedBytes: h.gotBytes.Load()}
 }
 
-// Block ends and refuses links with a member, for tests of cut networks.
-func (h *Hub) Block(name string, on bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.blocked[name] = on
-	if l := h.links[name]; on && l != nil {
-		l.close()
-	}
-}
-
 // Tell floods a payload to all daemons.
 func (h *Hub) Tell(p Payload) { h.send(h.Mesh.Tell(p)) }
 
@@ -210,7 +199,7 @@
 		d = &dialState{}
 		h.dialing[m.Name] = d
 	}
-	if h.links[m.Name] != nil || h.blocked[m.Name] || d.busy || now.Before(d.next) || h.ctx.Err() != nil {
+	if h.links[m.Name] != nil || d.busy || now.Before(d.next) || h.ctx.Err() != nil {
 		return
 	}
 	d.busy = true
--- a/conn/link.go
+++ b/conn/link.go
@@ -100,10 +100,7 @@
 		w.WriteHeader(http.StatusUnauthorized)
 		return
 	}
-	h.mu.Lock()
-	refuse := h.blocked[peer.Name] || h.ctx.Err() != nil
-	h.mu.Unlock()
-	if refuse {
+	if h.ctx.Err() != nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
--- a/conn/mesh.go
+++ b/conn/mesh.go
@@ -271,46 +271,6 @@
 	return out
 }
 
-// Suspect takes in that a member cannot be reached, and floods it.
-func (m *Mesh) Suspect(now time.Time, name string) []Send {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if k := m.members[name]; k != nil && k.State == MemberAlive && name != m.self.Name {
-		return m.suspect(now, k)
-	}
-	return nil
-}
-
-func (m *Mesh) suspect(now time.Time, k *known) []Send {
-	x := k.Member
-	x.State = MemberSuspect
-	m.merge(now, x)
-	return m.spread([]Member{x}, "")
-}
-
-// bury turns suspects whose time is over into dead ones, and forgets the dead
-// after a while.
-func (m *Mesh) bury(now time.Time) {
-	changed := false
-	for name, k := range m.members {
-		switch {
-		case k.State == MemberSuspect && now.Sub(k.since) >= m.timing.Refute:
-			k.State, k.since, changed = MemberDead, now, true
-			delete(m.neighbours, name)
-		case k.State > MemberSuspect && now.Sub(k.since) >= m.timing.Forget:
-			delete(m.members, name)
-			for o := range m.seen {
-				if o.name == name {
-					delete(m.seen, o)
-				}
-			}
-		}
-	}
-	if changed {
-		m.redigest()
-	}
-}
-
 // Receive takes a frame from a neighbour in. It returns what to send on and
 // what the frame has brought.
 func (m *Mesh) Receive(now time.Time, from string, frame []byte) ([]Send, []Delivery, error) {
@@ -367,18 +327,6 @@
 	return news
 }
 
-// deny answers a suspicion of ourselves.
-func (m *Mesh) deny(now time.Time) []Send {
-	k := m.members[m.self.Name]
-	if k.Start != m.self.Start || k.State == MemberAlive || m.self.State == MemberLeft {
-		return nil
-	}
-	m.self.Refuted = k.Refuted + 1
-	m.members[m.self.Name] = &known{Member: m.self, since: now}
-	m.redigest()
-	return m.spread([]Member{m.self}, "")
-}
-
 // takeBeat compares a neighbour's heartbeat with what we know.
 func (m *Mesh) takeBeat(from string, b beat) []Send {
 	var out []Send
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -35,7 +35,6 @@
 	refuse  map[string]bool // by zone/class/reclaimable
 	history []listed
 	refused int
-	doubled int
 }
 
 type cloudBox struct {
@@ -76,23 +75,11 @@
 	return c.refused
 }
 
-// SetPrice replaces the price of a kind.
-func (c *Cloud) SetPrice(p platform.Price) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for i, q := range c.prices {
-		if q.Zone == p.Zone && q.Class == p.Class && q.Reclaimable == p.Reclaimable {
-			c.prices[i] = p
-		}
-	}
-}
-
 // Start implements the order; the same token has one effect.
 func (c *Cloud) Start(now time.Time, o platform.StartOrder) (platform.Box, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if id, ok := c.tokens[o.Token]; ok {
-		c.doubled++
 		return c.boxes[id].box, true
 	}
 	if c.refuse[slotName(o.Zone, o.Class, o.Reclaimable)] {
--- /dev/null
+++ b/request/settle.go
@@ -0,0 +1,183 @@
+// SPDX-License-Identifier: MIT
+
+package request
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"streambend.example/code"
+	"streambend.example/conn"
+	"streambend.example/internal/plant"
+)
+
+const (
+	retryStep  = 10 * time.Millisecond
+	pauseLeast = 250 * time.Millisecond // between attempts once the budget is empty
+)
+
+// storeTries is how often an answer is offered to the table, with a growing
+// pause between.
+const storeTries = 8
+
+// settle follows an attempt's ending up and reports whether the request ends.
+func (r *run) settle(ctx context.Context, t *Target, e Ending, failure error) bool {
+	now := time.Now()
+	if ctx.Err() != nil && e != EndedWhole {
+		e = EndedGone
+	}
+	if e != EndedUnsent && e != EndedRefused {
+		r.life.Tainted = true
+	}
+	r.note(now, t, e)
+	v := Classify(now, Aftermath{
+		Ending: e, Unrepeatable: r.r.Unrepeatable, Tainted: r.life.Tainted,
+		Budget: r.opts.NoBudget || r.work.Budget.Left(), GiveUpAt: r.giveUpAt(),
+	})
+	v = r.planted(v, e)
+	if v.Action == Again && r.a.full() {
+		v = Verdict{Action: Finish}
+	}
+	if v.Action != Finish {
+		r.log.Infof("attempt: %s at %s ended %s (%v), tokens %d", r.r.ID, t.ID, e, failure, r.a.emitted())
+	}
+	switch v.Action {
+	case Finish:
+		r.complete(now)
+	case Refuse:
+		r.life.on(eventUnsend)
+		r.refuse(code.New(v.Code, "%v", failure).After(time.Second))
+	case GiveUp:
+		r.giveUp(ctx, v.Code, failure)
+	case Again:
+		r.again(ctx, e, v, t)
+		return false
+	}
+	return true
+}
+
+// planted spoils a verdict where a test has planted a fault.
+func (r *run) planted(v Verdict, e Ending) Verdict {
+	switch {
+	case r.opts.Plant == plant.DropMoved && e == EndedMoved:
+		return Verdict{Action: GiveUp, Code: code.NotWhole}
+	case r.opts.Plant == plant.RefuseAfterSend && e == EndedBroken:
+		r.life.Tainted = false
+		return Verdict{Action: Refuse, Code: code.NoEndpoint}
+	case r.opts.Plant == plant.RerunUnrepeatable && e == EndedBroken:
+		return Verdict{Action: Again}
+	}
+	return v
+}
+
+// note lets the pool and the limit learn from an ending.
+func (r *run) note(now time.Time, t *Target, e Ending) {
+	switch e {
+	case EndedWhole:
+		// Not at the first token: an endpoint that begins every answer and
+		// ends none would never be ejected.
+		t.Succeed()
+		if pace, ok := r.pace(now); ok && t.Paced(now, pace, r.work.Speed.Pace(!r.r.IsModel())) {
+			r.log.Warnf("eject: %s of %s is slow, %s where %s is usual", t.ID, r.work.Pool.Service, pace, r.work.Speed.Pace(!r.r.IsModel()))
+		}
+	case EndedUnsent, EndedBroken:
+		if _, leaving := t.Leaving(); !leaving && t.Fail(now, e == EndedUnsent) {
+			r.log.Warnf("eject: %s of %s after %s", t.ID, r.work.Pool.Service, e)
+		}
+	case EndedRefused:
+		t.Fail(now, false)
+		r.work.Queue.Limit.Overload(now)
+	}
+}
+
+// pace returns how long the endpoint took for a token, or for a plain call;
+// false for an answer that came from several endpoints or is too short.
+func (r *run) pace(now time.Time) (time.Duration, bool) {
+	if !r.r.IsModel() {
+		return now.Sub(r.started), true
+	}
+	n := r.a.emitted()
+	if r.attempts > 1 || n < 4 {
+		return 0, false
+	}
+	return now.Sub(r.a.firstAt()) / time.Duration(n-1), true
+}
+
+// again prepares the next attempt.
+func (r *run) again(ctx context.Context, e Ending, v Verdict, t *Target) {
+	switch e {
+	case EndedUnsent, EndedRefused:
+		r.life.on(eventUnsend)
+	default:
+		r.life.on(eventMove)
+	}
+	r.avoid = t
+	if !v.Spend {
+		r.Count.Moves.Add(1)
+		return
+	}
+	r.Count.Retries.Add(1)
+	r.work.Budget.Spend()
+	backoff := time.Duration(min(r.attempts, 6)) * retryStep
+	if v.Pause {
+		backoff = pauseLeast + time.Duration(min(r.attempts, 6))*pauseLeast
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(backoff/2 + time.Duration(rand.Int64N(int64(backoff)/2+1))):
+	}
+}
+
+func (r *run) giveUp(ctx context.Context, c code.Code, failure error) {
+	var f *conn.Failure
+	if c == code.EndpointAnswer && errors.As(failure, &f) {
+		r.end(ctx, code.New(c, "the endpoint answered %d", f.Status))
+		return
+	}
+	r.end(ctx, code.New(c, "%v", failure))
+}
+
+// complete ends the request with its whole answer.
+func (r *run) complete(now time.Time) {
+	r.work.Budget.Earn()
+	event := eventComplete
+	if now.After(r.r.Deadline) {
+		event = eventLate
+		r.Count.Late.Add(1)
+	} else {
+		r.Count.Complete.Add(1)
+	}
+	r.life.on(event)
+	u := r.a.Usage()
+	first := r.a.firstAt().Sub(r.started)
+	if r.attempts == 1 {
+		r.work.Speed.Answered(first, now.Sub(r.started), u.CompletionTokens, u.PromptTokens-u.Details.CachedTokens)
+	}
+	r.a.settle(nil)
+	if r.claimed {
+		r.store()
+	}
+}
+
+// store keeps the answer with its claim. The caller has it already; until it
+// is stored, repeats of the call are told that it still runs.
+func (r *run) store() {
+	snap := r.a.Snapshot()
+	for try := range storeTries {
+		ctx, cancel := context.WithTimeout(r.alive, 5*time.Second)
+		err := r.Claims.Store(ctx, r.claim, snap)
+		cancel()
+		if err == nil || r.alive.Err() != nil {
+			return
+		}
+		r.log.Warnf("claim: %s not stored yet: %v", r.r.ID, err)
+		select {
+		case <-r.alive.Done():
+			return
+		case <-time.After(time.Duration(1<<try) * 100 * time.Millisecond):
+		}
+	}
+}
--- a/version/lease.go
+++ b/version/lease.go
@@ -56,9 +56,6 @@
 	return l.row.Epoch, l.row.Holder == l.Self && now.Before(l.heldUntil)
 }
 
-// Until returns the end of our own term.
-func (l *Lease) Until() time.Time { return l.heldUntil }
-
 // Holder returns the holder that was last read.
 func (l *Lease) Holder() LeaseRow { return l.row }
 
