--- a/platform/dynamo.go
+++ b/cloud/dynamo.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-package platform
+package cloud
 
 import (
 	"bytes"
@@ -15,6 +15,8 @@
 	"github.com/aws/aws-sdk-go-v2/service/dynamodb/types"
 	"github.com/aws/aws-sdk-go-v2/service/s3"
 	"github.com/pkg/errors"
+
+	"streambend.example/seam"
 )
 
 // The adapter's expressions. A stand-in may compare them literally.
@@ -62,8 +64,8 @@
 	return &types.AttributeValueMemberN{Value: strconv.FormatInt(n, 10)}
 }
 
-func itemOf(m map[string]types.AttributeValue) Item {
-	var it Item
+func itemOf(m map[string]types.AttributeValue) seam.Item {
+	var it seam.Item
 	if v, ok := m["pk"].(*types.AttributeValueMemberS); ok {
 		it.Key.Part = v.Value
 	}
@@ -83,23 +85,23 @@
 }
 
 // Get implements Table with a consistent read.
-func (d *Dynamo) Get(ctx context.Context, k Key) (Item, error) {
+func (d *Dynamo) Get(ctx context.Context, k seam.Key) (seam.Item, error) {
 	out, err := d.client.GetItem(ctx, &dynamodb.GetItemInput{
 		TableName:      &d.table,
 		Key:            map[string]types.AttributeValue{"pk": attr(k.Part), "sk": attr(k.Sort)},
 		ConsistentRead: aws.Bool(true),
 	})
 	if err != nil {
-		return Item{}, errors.Wrap(err, "platform: get")
+		return seam.Item{}, errors.Wrap(err, "cloud: get")
 	}
 	if len(out.Item) == 0 {
-		return Item{}, ErrNotFound
+		return seam.Item{}, seam.ErrNotFound
 	}
 	return itemOf(out.Item), nil
 }
 
 // Query implements Table with a consistent read.
-func (d *Dynamo) Query(ctx context.Context, part, after string, limit int) ([]Item, error) {
+func (d *Dynamo) Query(ctx context.Context, part, after string, limit int) ([]seam.Item, error) {
 	if after == "" {
 		after = " " // the protocol allows no empty key value
 	}
@@ -113,9 +115,9 @@
 		Limit:          aws.Int32(int32(limit)),
 	})
 	if err != nil {
-		return nil, errors.Wrap(err, "platform: query")
+		return nil, errors.Wrap(err, "cloud: query")
 	}
-	items := make([]Item, 0, len(out.Items))
+	items := make([]seam.Item, 0, len(out.Items))
 	for _, m := range out.Items {
 		items = append(items, itemOf(m))
 	}
@@ -123,7 +125,7 @@
 }
 
 // Write implements Table with one transaction; the nonce is its client token.
-func (d *Dynamo) Write(ctx context.Context, nonce string, writes ...Write) error {
+func (d *Dynamo) Write(ctx context.Context, nonce string, writes ...seam.Write) error {
 	items := make([]types.TransactWriteItem, 0, len(writes))
 	for _, w := range writes {
 		items = append(items, d.transact(nonce, w))
@@ -134,12 +136,12 @@
 	})
 	var cancelled *types.TransactionCanceledException
 	if errors.As(err, &cancelled) {
-		return ErrConflict
+		return seam.ErrConflict
 	}
-	return errors.Wrap(err, "platform: write")
+	return errors.Wrap(err, "cloud: write")
 }
 
-func (d *Dynamo) transact(nonce string, w Write) types.TransactWriteItem {
+func (d *Dynamo) transact(nonce string, w seam.Write) types.TransactWriteItem {
 	cond, vals := aws.String(CondAbsent), map[string]types.AttributeValue(nil)
 	if w.Rev > 0 {
 		cond = aws.String(CondRev)
@@ -199,14 +201,14 @@
 func (s *S3) Get(ctx context.Context, name string) ([]byte, error) {
 	out, err := s.client.GetObject(ctx, &s3.GetObjectInput{Bucket: &s.bucket, Key: &name})
 	if hasStatus(err, 404) {
-		return nil, ErrNotFound
+		return nil, seam.ErrNotFound
 	}
 	if err != nil {
-		return nil, errors.Wrap(err, "platform: get object")
+		return nil, errors.Wrap(err, "cloud: get object")
 	}
 	defer out.Body.Close()
 	b, err := io.ReadAll(out.Body)
-	return b, errors.Wrap(err, "platform: read object")
+	return b, errors.Wrap(err, "cloud: read object")
 }
 
 // Put implements Objects with If-None-Match.
@@ -215,7 +217,7 @@
 		Bucket: &s.bucket, Key: &name, Body: bytes.NewReader(value), IfNoneMatch: aws.String("*"),
 	})
 	if hasStatus(err, 412) {
-		return ErrConflict
+		return seam.ErrConflict
 	}
-	return errors.Wrap(err, "platform: put object")
+	return errors.Wrap(err, "cloud: put object")
 }
--- a/platform/http.go
+++ b/cloud/http.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-package platform
+package cloud
 
 import (
 	"bytes"
@@ -10,10 +10,12 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"streambend.example/seam"
 )
 
-// CloudHTTP is a Cloud and a BoxList by plain JSON over HTTP.
-type CloudHTTP struct {
+// HTTP is a Cloud and a BoxList by plain JSON over HTTP.
+type HTTP struct {
 	Base   string // URL without a trailing slash
 	Client *http.Client
 }
@@ -24,62 +26,62 @@
 	Epoch int64
 }
 
-func (c CloudHTTP) call(ctx context.Context, method, path string, in, out any) error {
+func (c HTTP) call(ctx context.Context, method, path string, in, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
-		return errors.Wrap(err, "platform: encode")
+		return errors.Wrap(err, "cloud: encode")
 	}
 	req, err := http.NewRequestWithContext(ctx, method, c.Base+path, bytes.NewReader(body))
 	if err != nil {
-		return errors.Wrap(err, "platform: cloud")
+		return errors.Wrap(err, "cloud: cloud")
 	}
 	resp, err := c.Client.Do(req)
 	if err != nil {
-		return errors.Wrap(err, "platform: cloud")
+		return errors.Wrap(err, "cloud: cloud")
 	}
 	defer resp.Body.Close()
 	switch resp.StatusCode {
 	case http.StatusOK:
 	case http.StatusInsufficientStorage:
-		return ErrRefused
+		return seam.ErrRefused
 	default:
-		return errors.Errorf("platform: cloud answered %d", resp.StatusCode)
+		return errors.Errorf("cloud: cloud answered %d", resp.StatusCode)
 	}
 	if out == nil {
 		return nil
 	}
-	return errors.Wrap(json.NewDecoder(resp.Body).Decode(out), "platform: decode")
+	return errors.Wrap(json.NewDecoder(resp.Body).Decode(out), "cloud: decode")
 }
 
 // Start implements Cloud.
-func (c CloudHTTP) Start(ctx context.Context, o StartOrder) (Box, error) {
-	var b Box
+func (c HTTP) Start(ctx context.Context, o seam.StartOrder) (seam.Box, error) {
+	var b seam.Box
 	err := c.call(ctx, http.MethodPost, "/start", o, &b)
 	return b, err
 }
 
 // Stop implements Cloud.
-func (c CloudHTTP) Stop(ctx context.Context, box string, epoch int64) error {
+func (c HTTP) Stop(ctx context.Context, box string, epoch int64) error {
 	return c.call(ctx, http.MethodPost, "/stop", stopOrder{Box: box, Epoch: epoch}, nil)
 }
 
 // Prices implements Cloud.
-func (c CloudHTTP) Prices(ctx context.Context) ([]Price, error) {
-	var p []Price
+func (c HTTP) Prices(ctx context.Context) ([]seam.Price, error) {
+	var p []seam.Price
 	err := c.call(ctx, http.MethodGet, "/prices", nil, &p)
 	return p, err
 }
 
 // Notices implements Cloud.
-func (c CloudHTTP) Notices(ctx context.Context) ([]Notice, error) {
-	var n []Notice
+func (c HTTP) Notices(ctx context.Context) ([]seam.Notice, error) {
+	var n []seam.Notice
 	err := c.call(ctx, http.MethodGet, "/notices", nil, &n)
 	return n, err
 }
 
 // List implements BoxList.
-func (c CloudHTTP) List(ctx context.Context, since int64) (BoxPage, error) {
-	var p BoxPage
+func (c HTTP) List(ctx context.Context, since int64) (seam.BoxPage, error) {
+	var p seam.BoxPage
 	err := c.call(ctx, http.MethodGet, fmt.Sprintf("/boxes?since=%d", since), nil, &p)
 	return p, err
 }
--- a/cmd/streambend/serve.go
+++ b/cmd/streambend/serve.go
@@ -14,8 +14,8 @@
 	"github.com/sirupsen/logrus"
 
 	"streambend.example/code"
-	"streambend.example/platform"
 	"streambend.example/process"
+	"streambend.example/seam"
 )
 
 // settingsFile reads the settings that a command names.
@@ -54,7 +54,7 @@
 	if s.Log.JSON {
 		log.SetFormatter(&logrus.JSONFormatter{})
 	}
-	d, err := process.New(s, process.Adapters(s, platform.TCP{}), log)
+	d, err := process.New(s, process.Adapters(s, seam.TCP{}), log)
 	if err != nil {
 		return code.New(code.BadSettings, "%v", err)
 	}
--- a/conn/endpoint.go
+++ b/conn/endpoint.go
@@ -15,7 +15,7 @@
 
 	"github.com/pkg/errors"
 
-	"streambend.example/platform"
+	"streambend.example/seam"
 )
 
 // Failure is why a call to an endpoint did not succeed.
@@ -44,7 +44,7 @@
 }
 
 // NewClient returns a client that reads answers of at most limit bytes.
-func NewClient(n platform.Network, limit int64) *Client {
+func NewClient(n seam.Network, limit int64) *Client {
 	pooled := &http.Transport{
 		DialContext: n.Dial, MaxIdleConns: 4096, MaxIdleConnsPerHost: 256, IdleConnTimeout: 90 * time.Second, DisableCompression: true,
 	}
--- a/conn/hub.go
+++ b/conn/hub.go
@@ -11,7 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
-	"streambend.example/platform"
+	"streambend.example/seam"
 )
 
 // PeerPath is where a daemon takes links.
@@ -68,10 +68,10 @@
 
 // NewHub returns a hub that keeps the links the mesh wants. Deliveries go to
 // take, questions to answer.
-func NewHub(mesh *Mesh, self Member, n platform.Network, secret string, log *logrus.Logger, take func(time.Time, Delivery), answer AskHandler) *Hub {
+func NewHub(mesh *Mesh, self Member, n seam.Network, secret string, log *logrus.Logger, take func(time.Time, Delivery), answer AskHandler) *Hub {
 	h := &Hub{
 		Mesh: mesh, self: self, secret: []byte(secret), log: log.WithField("part", "link"), take: take, answer: answer,
-		client: platform.HTTPClient(n, 0), links: make(map[string]*link), dialing: make(map[string]*dialState), wanting: make(map[string]time.Time),
+		client: seam.HTTPClient(n, 0), links: make(map[string]*link), dialing: make(map[string]*dialState), wanting: make(map[string]time.Time),
 		asks: make(map[uint64]chan *ask),
 	}
 	h.ctx, h.cancel = context.WithCancel(context.Background())
--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -11,7 +11,7 @@
 	"sync"
 	"time"
 
-	"streambend.example/platform"
+	"streambend.example/seam"
 )
 
 // Machine is the endpoint that runs on a box.
@@ -24,12 +24,12 @@
 // Cloud is the cloud API and the lagging box list.
 type Cloud struct {
 	// Launch starts the endpoint of a box.
-	Launch func(platform.Box) Machine
+	Launch func(seam.Box) Machine
 	Boot   time.Duration // from order to live
 	Lag    time.Duration // how late the list is
 
 	mu      sync.Mutex
-	prices  []platform.Price
+	prices  []seam.Price
 	boxes   map[string]*cloudBox
 	tokens  map[string]string
 	refuse  map[string]bool // by zone/class/reclaimable
@@ -38,7 +38,7 @@
 }
 
 type cloudBox struct {
-	box     platform.Box
+	box     seam.Box
 	machine Machine
 	started time.Time
 	ended   time.Time
@@ -46,11 +46,11 @@
 
 type listed struct {
 	at   time.Time
-	page platform.BoxPage
+	page seam.BoxPage
 }
 
 // NewCloud returns a cloud with the given prices.
-func NewCloud(prices []platform.Price) *Cloud {
+func NewCloud(prices []seam.Price) *Cloud {
 	return &Cloud{
 		prices: prices, boxes: make(map[string]*cloudBox),
 		tokens: make(map[string]string), refuse: make(map[string]bool),
@@ -76,7 +76,7 @@
 }
 
 // Start implements the order; the same token has one effect.
-func (c *Cloud) Start(now time.Time, o platform.StartOrder) (platform.Box, bool) {
+func (c *Cloud) Start(now time.Time, o seam.StartOrder) (seam.Box, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if id, ok := c.tokens[o.Token]; ok {
@@ -84,11 +84,11 @@
 	}
 	if c.refuse[slotName(o.Zone, o.Class, o.Reclaimable)] {
 		c.refused++
-		return platform.Box{}, false
+		return seam.Box{}, false
 	}
-	b := platform.Box{
+	b := seam.Box{
 		ID: fmt.Sprintf("box-%03d", len(c.boxes)+1), Token: o.Token, Partner: o.Partner, Service: o.Service,
-		Zone: o.Zone, Class: o.Class, Reclaimable: o.Reclaimable, State: platform.BoxStarting, Price: c.price(o),
+		Zone: o.Zone, Class: o.Class, Reclaimable: o.Reclaimable, State: seam.BoxStarting, Price: c.price(o),
 	}
 	cb := &cloudBox{box: b, started: now}
 	c.boxes[b.ID], c.tokens[o.Token] = cb, b.ID
@@ -96,13 +96,13 @@
 		m := c.Launch(b)
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if cb.box.State == platform.BoxGone {
+		if cb.box.State == seam.BoxGone {
 			m.Kill()
 			return
 		}
 		cb.box.Address, cb.machine = m.Address(), m
-		if cb.box.State == platform.BoxStarting {
-			cb.box.State = platform.BoxLive
+		if cb.box.State == seam.BoxStarting {
+			cb.box.State = seam.BoxLive
 		}
 		c.record(time.Now())
 	}
@@ -115,7 +115,7 @@
 	return b, true
 }
 
-func (c *Cloud) price(o platform.StartOrder) float64 {
+func (c *Cloud) price(o seam.StartOrder) float64 {
 	for _, p := range c.prices {
 		if p.Zone == o.Zone && p.Class == o.Class && p.Reclaimable == o.Reclaimable {
 			return p.Hourly
@@ -126,17 +126,17 @@
 
 // Reclaim gives notice to the reclaimable boxes that match, and ends them
 // when it has run out. It returns how many there are.
-func (c *Cloud) Reclaim(now time.Time, notice time.Duration, match func(platform.Box) bool) int {
+func (c *Cloud) Reclaim(now time.Time, notice time.Duration, match func(seam.Box) bool) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
 	for _, cb := range c.boxes {
-		up := cb.box.State == platform.BoxLive || cb.box.State == platform.BoxStarting
+		up := cb.box.State == seam.BoxLive || cb.box.State == seam.BoxStarting
 		if !up || !cb.box.Reclaimable || !match(cb.box) {
 			continue
 		}
 		n++
-		cb.box.State, cb.box.Deadline = platform.BoxLeaving, now.Add(notice)
+		cb.box.State, cb.box.Deadline = seam.BoxLeaving, now.Add(notice)
 		if cb.machine != nil {
 			cb.machine.Notice(now)
 		}
@@ -151,10 +151,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	cb := c.boxes[id]
-	if cb == nil || cb.box.State == platform.BoxGone {
+	if cb == nil || cb.box.State == seam.BoxGone {
 		return
 	}
-	cb.box.State, cb.ended = platform.BoxGone, now
+	cb.box.State, cb.ended = seam.BoxGone, now
 	if cb.machine != nil {
 		cb.machine.Kill()
 	}
@@ -163,7 +163,7 @@
 
 // record keeps the list as of now; the caller holds the lock.
 func (c *Cloud) record(now time.Time) {
-	var p platform.BoxPage
+	var p seam.BoxPage
 	if n := len(c.history); n > 0 {
 		p.Seq = c.history[n-1].page.Seq
 	}
@@ -176,25 +176,25 @@
 }
 
 // List returns the list as it stood Lag ago.
-func (c *Cloud) List(now time.Time, since int64) platform.BoxPage {
+func (c *Cloud) List(now time.Time, since int64) seam.BoxPage {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := len(c.history) - 1; i >= 0; i-- {
 		if h := c.history[i]; now.Sub(h.at) >= c.Lag {
 			if h.page.Seq == since {
-				return platform.BoxPage{Seq: since}
+				return seam.BoxPage{Seq: since}
 			}
 			return h.page
 		}
 	}
-	return platform.BoxPage{}
+	return seam.BoxPage{}
 }
 
 // Boxes returns all boxes as they are, without lag.
-func (c *Cloud) Boxes() []platform.Box {
+func (c *Cloud) Boxes() []seam.Box {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	var out []platform.Box
+	var out []seam.Box
 	for _, cb := range c.boxes {
 		out = append(out, cb.box)
 	}
@@ -214,18 +214,18 @@
 		}
 		h := end.Sub(cb.started).Hours()
 		paid += h * cb.box.Price
-		onDemand += h * c.price(platform.StartOrder{Zone: cb.box.Zone, Class: cb.box.Class})
+		onDemand += h * c.price(seam.StartOrder{Zone: cb.box.Zone, Class: cb.box.Class})
 	}
 	return paid, onDemand
 }
 
-// ServeHTTP answers what platform.CloudHTTP asks.
+// ServeHTTP answers what cloud.HTTP asks.
 func (c *Cloud) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	var out any
 	switch r.URL.Path {
 	case "/start":
-		var o platform.StartOrder
+		var o seam.StartOrder
 		json.NewDecoder(r.Body).Decode(&o)
 		b, ok := c.Start(now, o)
 		if !ok {
@@ -239,7 +239,7 @@
 		c.end(now, o.Box)
 	case "/prices":
 		c.mu.Lock()
-		out = append([]platform.Price(nil), c.prices...)
+		out = append([]seam.Price(nil), c.prices...)
 		c.mu.Unlock()
 	case "/notices":
 		out = c.notices()
@@ -253,11 +253,11 @@
 	json.NewEncoder(w).Encode(out)
 }
 
-func (c *Cloud) notices() []platform.Notice {
-	out := []platform.Notice{}
+func (c *Cloud) notices() []seam.Notice {
+	out := []seam.Notice{}
 	for _, b := range c.Boxes() {
-		if b.State == platform.BoxLeaving {
-			out = append(out, platform.Notice{Box: b.ID, Deadline: b.Deadline})
+		if b.State == seam.BoxLeaving {
+			out = append(out, seam.Notice{Box: b.ID, Deadline: b.Deadline})
 		}
 	}
 	return out
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -11,7 +11,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"streambend.example/platform"
+	"streambend.example/seam"
 )
 
 // EngineConfig is the speed and the size of a model engine.
@@ -62,8 +62,8 @@
 }
 
 // NewEngine starts an engine on a port of its own.
-func NewEngine(n platform.Network, name string, cfg EngineConfig, ledger *Ledger) *Engine {
-	e := &Engine{client: platform.HTTPClient(n, 0), cfg: cfg, name: name, ledger: ledger, done: make(chan struct{}), prompt: make(chan struct{}, 1)}
+func NewEngine(n seam.Network, name string, cfg EngineConfig, ledger *Ledger) *Engine {
+	e := &Engine{client: seam.HTTPClient(n, 0), cfg: cfg, name: name, ledger: ledger, done: make(chan struct{}), prompt: make(chan struct{}, 1)}
 	e.held = make(map[uint64]int)
 	e.cache, _ = simplelru.NewLRU(cfg.CacheBlocks, func(_ uint64, key string) { e.publish(key) })
 	mux := http.NewServeMux()
@@ -78,7 +78,7 @@
 }
 
 // listen serves h on a loopback port of its own.
-func listen(n platform.Network, h http.Handler) (*http.Server, string) {
+func listen(n seam.Network, h http.Handler) (*http.Server, string) {
 	l, err := n.Listen("127.0.0.1:0")
 	if err != nil {
 		panic(err)
--- a/internal/standin/memory.go
+++ b/internal/standin/memory.go
@@ -10,7 +10,7 @@
 
 	"github.com/pkg/errors"
 
-	"streambend.example/platform"
+	"streambend.example/seam"
 )
 
 // errFault is what a faulty call answers.
@@ -63,12 +63,12 @@
 	return s.f.LoseEvery > 0 && s.writes%s.f.LoseEvery == 0
 }
 
-// Memory is a platform.Table held in memory.
+// Memory is a seam.Table held in memory.
 type Memory struct {
 	Faults Faults
 
 	mu     sync.Mutex
-	items  map[platform.Key]platform.Item
+	items  map[seam.Key]seam.Item
 	nonces map[string]bool
 	units  Units
 }
@@ -83,7 +83,7 @@
 
 // NewMemory returns an empty table.
 func NewMemory() *Memory {
-	return &Memory{items: make(map[platform.Key]platform.Item), nonces: make(map[string]bool)}
+	return &Memory{items: make(map[seam.Key]seam.Item), nonces: make(map[string]bool)}
 }
 
 // Units returns what has been billed so far.
@@ -93,10 +93,10 @@
 	return m.units
 }
 
-// Get implements platform.Table.
-func (m *Memory) Get(ctx context.Context, k platform.Key) (platform.Item, error) {
+// Get implements seam.Table.
+func (m *Memory) Get(ctx context.Context, k seam.Key) (seam.Item, error) {
 	if err := m.Faults.begin(ctx); err != nil {
-		return platform.Item{}, err
+		return seam.Item{}, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -104,19 +104,19 @@
 	m.units.Reads++
 	it, ok := m.items[k]
 	if !ok {
-		return platform.Item{}, platform.ErrNotFound
+		return seam.Item{}, seam.ErrNotFound
 	}
 	return it, nil
 }
 
-// Query implements platform.Table.
-func (m *Memory) Query(ctx context.Context, part, after string, limit int) ([]platform.Item, error) {
+// Query implements seam.Table.
+func (m *Memory) Query(ctx context.Context, part, after string, limit int) ([]seam.Item, error) {
 	if err := m.Faults.begin(ctx); err != nil {
 		return nil, err
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []platform.Item
+	var out []seam.Item
 	for k, it := range m.items {
 		if k.Part == part && k.Sort > after {
 			out = append(out, it)
@@ -131,8 +131,8 @@
 	return out, nil
 }
 
-// Write implements platform.Table.
-func (m *Memory) Write(ctx context.Context, nonce string, writes ...platform.Write) error {
+// Write implements seam.Table.
+func (m *Memory) Write(ctx context.Context, nonce string, writes ...seam.Write) error {
 	if err := m.Faults.begin(ctx); err != nil {
 		return err
 	}
@@ -145,7 +145,7 @@
 	return nil
 }
 
-func (m *Memory) apply(nonce string, writes []platform.Write) error {
+func (m *Memory) apply(nonce string, writes []seam.Write) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.units.Calls++
@@ -159,7 +159,7 @@
 	}
 	for _, w := range writes {
 		if m.items[w.Key].Rev != w.Rev {
-			return platform.ErrConflict
+			return seam.ErrConflict
 		}
 	}
 	for _, w := range writes {
@@ -167,13 +167,13 @@
 			delete(m.items, w.Key)
 			continue
 		}
-		m.items[w.Key] = platform.Item{Key: w.Key, Rev: w.Rev + 1, Nonce: nonce, Value: w.Value}
+		m.items[w.Key] = seam.Item{Key: w.Key, Rev: w.Rev + 1, Nonce: nonce, Value: w.Value}
 	}
 	m.nonces[nonce] = true
 	return nil
 }
 
-// MemoryObjects is a platform.Objects held in memory.
+// MemoryObjects is a seam.Objects held in memory.
 type MemoryObjects struct {
 	Faults Faults
 
@@ -181,7 +181,7 @@
 	objs map[string][]byte
 }
 
-// Get implements platform.Objects.
+// Get implements seam.Objects.
 func (m *MemoryObjects) Get(ctx context.Context, name string) ([]byte, error) {
 	if err := m.Faults.begin(ctx); err != nil {
 		return nil, err
@@ -190,12 +190,12 @@
 	defer m.mu.Unlock()
 	b, ok := m.objs[name]
 	if !ok {
-		return nil, platform.ErrNotFound
+		return nil, seam.ErrNotFound
 	}
 	return b, nil
 }
 
-// Put implements platform.Objects.
+// Put implements seam.Objects.
 func (m *MemoryObjects) Put(ctx context.Context, name string, value []byte) error {
 	if err := m.Faults.begin(ctx); err != nil {
 		return err
@@ -203,7 +203,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if _, ok := m.objs[name]; ok {
-		return platform.ErrConflict
+		return seam.ErrConflict
 	}
 	if m.objs == nil {
 		m.objs = make(map[string][]byte)
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"streambend.example/platform"
+	"streambend.example/seam"
 )
 
 // Plain is a plain service, such as the portal or the player.
@@ -26,7 +26,7 @@
 }
 
 // NewPlain starts a plain service whose calls take the given time.
-func NewPlain(n platform.Network, work time.Duration, ledger *Ledger) *Plain {
+func NewPlain(n seam.Network, work time.Duration, ledger *Ledger) *Plain {
 	p := &Plain{work: work, ledger: ledger}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /load", p.serveLoad)
--- a/internal/standin/store.go
+++ b/internal/standin/store.go
@@ -11,7 +11,8 @@
 
 	"github.com/pkg/errors"
 
-	"streambend.example/platform"
+	"streambend.example/cloud"
+	"streambend.example/seam"
 )
 
 // Store answers the few DynamoDB and S3 requests that the platform adapters
@@ -89,7 +90,7 @@
 	switch {
 	case err == nil:
 		writeDynamo(w, http.StatusOK, ans)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, seam.ErrConflict):
 		writeDynamo(w, http.StatusBadRequest, dynamoError{"com.amazonaws.dynamodb.v20120810#TransactionCanceledException"})
 	default:
 		writeDynamo(w, http.StatusInternalServerError, dynamoError{"com.amazonaws.dynamodb.v20120810#InternalServerError"})
@@ -105,14 +106,14 @@
 func (s *Store) dynamo(r *http.Request, op string, req dynamoRequest) (dynamoAnswer, error) {
 	switch op {
 	case "GetItem":
-		it, err := s.Table.Get(r.Context(), platform.Key{Part: req.Key.PK.S, Sort: req.Key.SK.S})
-		if errors.Is(err, platform.ErrNotFound) {
+		it, err := s.Table.Get(r.Context(), seam.Key{Part: req.Key.PK.S, Sort: req.Key.SK.S})
+		if errors.Is(err, seam.ErrNotFound) {
 			return dynamoAnswer{}, nil
 		}
 		d := toDynamo(it)
 		return dynamoAnswer{Item: &d}, err
 	case "Query":
-		if req.KeyConditionExpression != platform.CondQuery {
+		if req.KeyConditionExpression != cloud.CondQuery {
 			return dynamoAnswer{}, errors.Errorf("standin: query %q", req.KeyConditionExpression)
 		}
 		v := req.ExpressionAttributeValues
@@ -132,7 +133,7 @@
 	return dynamoAnswer{}, errors.Errorf("standin: operation %q", op)
 }
 
-func toDynamo(it platform.Item) dynamoItem {
+func toDynamo(it seam.Item) dynamoItem {
 	return dynamoItem{
 		PK: dynamoValue{S: it.Key.Part}, SK: dynamoValue{S: it.Key.Sort},
 		Rev:   dynamoValue{N: strconv.FormatInt(it.Rev, 10)},
@@ -140,8 +141,8 @@
 	}
 }
 
-func fromDynamo(items []dynamoWrite) ([]platform.Write, error) {
-	var ws []platform.Write
+func fromDynamo(items []dynamoWrite) ([]seam.Write, error) {
+	var ws []seam.Write
 	for _, ti := range items {
 		c, del := ti.Put, false
 		if c == nil {
@@ -150,14 +151,14 @@
 		if c == nil {
 			return nil, errors.New("standin: transaction item of another kind")
 		}
-		w := platform.Write{Delete: del, Value: c.Item.Val.B}
-		w.Key = platform.Key{Part: c.Item.PK.S, Sort: c.Item.SK.S}
+		w := seam.Write{Delete: del, Value: c.Item.Val.B}
+		w.Key = seam.Key{Part: c.Item.PK.S, Sort: c.Item.SK.S}
 		if del {
-			w.Key = platform.Key{Part: c.Key.PK.S, Sort: c.Key.SK.S}
+			w.Key = seam.Key{Part: c.Key.PK.S, Sort: c.Key.SK.S}
 		}
 		switch c.ConditionExpression {
-		case platform.CondAbsent:
-		case platform.CondRev:
+		case cloud.CondAbsent:
+		case cloud.CondRev:
 			w.Rev, _ = strconv.ParseInt(c.ExpressionAttributeValues.Rev.N, 10, 64)
 		default:
 			return nil, errors.Errorf("standin: condition %q", c.ConditionExpression)
@@ -187,9 +188,9 @@
 	}
 	switch {
 	case err == nil:
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, seam.ErrNotFound):
 		w.WriteHeader(http.StatusNotFound)
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, seam.ErrConflict):
 		w.WriteHeader(http.StatusPreconditionFailed)
 	default:
 		w.WriteHeader(http.StatusInternalServerError)
--- a/internal/trial/control_test.go
+++ b/internal/trial/control_test.go
@@ -12,13 +12,13 @@
 	"time"
 
 	"streambend.example/internal/trial"
-	"streambend.example/platform"
+	"streambend.example/seam"
 )
 
 // countingNet counts what crosses the connections that are dialled over it, in
 // both directions.
 type countingNet struct {
-	platform.TCP
+	seam.TCP
 	bytes atomic.Int64
 	dials atomic.Int64
 }
--- a/internal/trial/events.go
+++ b/internal/trial/events.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
-	"streambend.example/platform"
 	"streambend.example/process"
+	"streambend.example/seam"
 	"streambend.example/version"
 )
 
@@ -18,10 +18,10 @@
 	slowNotice = 8 * time.Second
 )
 
-func (w *world) leaving() []platform.Box {
-	var out []platform.Box
+func (w *world) leaving() []seam.Box {
+	var out []seam.Box
 	for _, b := range w.cloud.Boxes() {
-		if b.State == platform.BoxLeaving {
+		if b.State == seam.BoxLeaving {
 			out = append(out, b)
 		}
 	}
@@ -33,7 +33,7 @@
 
 func (t *trial) reclaimIn(notice time.Duration, zones ...string) {
 	for _, z := range zones {
-		n := t.cloud.Reclaim(time.Now(), notice, func(b platform.Box) bool { return b.Zone == z })
+		n := t.cloud.Reclaim(time.Now(), notice, func(b seam.Box) bool { return b.Zone == z })
 		t.mu.Lock()
 		t.report.BoxesReclaimed += n
 		t.mu.Unlock()
--- a/internal/trial/faults.go
+++ b/internal/trial/faults.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"streambend.example/internal/standin"
-	"streambend.example/platform"
+	"streambend.example/seam"
 )
 
 // fault is something that goes wrong during a trial.
@@ -216,7 +216,7 @@
 	kinds := []standin.EngineFault{{CutAfter: 5}, {StallAfter: 4}, {Garble: true}, {Short: true}, {BlackHole: true}}
 	var bad []faulty
 	for _, b := range t.cloud.Boxes() {
-		if len(bad) == len(kinds) || b.Class != gpuClass || b.State != platform.BoxLive || b.Zone == "silom" || b.Zone == "makati-a" {
+		if len(bad) == len(kinds) || b.Class != gpuClass || b.State != seam.BoxLive || b.Zone == "silom" || b.Zone == "makati-a" {
 			continue
 		}
 		t.world.mu.Lock()
--- a/internal/trial/keys.go
+++ b/internal/trial/keys.go
@@ -10,7 +10,7 @@
 
 	"streambend.example/code"
 	"streambend.example/internal/standin"
-	"streambend.example/platform"
+	"streambend.example/seam"
 )
 
 // sameKeyRounds is how many requests are each sent to all daemons at once.
@@ -63,7 +63,7 @@
 	defer t.store.Table.Faults.Set(standin.Fault{})
 	t.keep(ctx, 0.4)
 	before := t.cloud.Boxes()
-	n := t.cloud.Reclaim(time.Now(), noticeTime, func(b platform.Box) bool { return b.Zone == "bangna" || b.Zone == "pasig-c" })
+	n := t.cloud.Reclaim(time.Now(), noticeTime, func(b seam.Box) bool { return b.Zone == "bangna" || b.Zone == "pasig-c" })
 	t.say("       %d boxes are reclaimed while the table is down", n)
 	err := until(ctx, 10*time.Second, "replacement with the table down", t.enough)
 	t.check(err == nil, "%v: %d started for %d lost", err, len(t.cloud.Boxes())-len(before), n)
@@ -75,7 +75,7 @@
 func (t *trial) enough() bool {
 	have := make(map[string]int)
 	for _, b := range t.cloud.Boxes() {
-		if b.State < platform.BoxLeaving {
+		if b.State < seam.BoxLeaving {
 			have[b.Partner+"/"+b.Service]++
 		}
 	}
@@ -88,14 +88,14 @@
 }
 
 // leavingSince counts the boxes lost since a list, besides those it had.
-func (t *trial) leavingSince(before []platform.Box) int {
+func (t *trial) leavingSince(before []seam.Box) int {
 	lost := 0
-	had := make(map[string]platform.Box)
+	had := make(map[string]seam.Box)
 	for _, b := range before {
 		had[b.ID] = b
 	}
 	for _, b := range t.cloud.Boxes() {
-		if old, ok := had[b.ID]; ok && old.State < platform.BoxLeaving && b.State >= platform.BoxLeaving && b.Zone != "bangna" && b.Zone != "pasig-c" {
+		if old, ok := had[b.ID]; ok && old.State < seam.BoxLeaving && b.State >= seam.BoxLeaving && b.Zone != "bangna" && b.Zone != "pasig-c" {
 			lost++
 		}
 	}
--- a/internal/trial/replay.go
+++ b/internal/trial/replay.go
@@ -9,14 +9,14 @@
 	"slices"
 	"time"
 
-	"streambend.example/platform"
+	"streambend.example/seam"
 	"streambend.example/version"
 )
 
 // Hour is a recorded hour of the platform and of the demand, at each Tick.
 type Hour struct {
 	Tick    time.Duration
-	Prices  [][]platform.Price
+	Prices  [][]seam.Price
 	Demand  []float64         // boxes that the demand needs
 	Reclaim []string          // zone that gets notice, "" for none
 	Refused []map[string]bool // zones where reclaimable starts are refused
@@ -44,14 +44,14 @@
 		spot[i] = spotLow + (spotHigh-spotLow)*rng.Float64()
 	}
 	for at := time.Duration(0); at < time.Hour; at += hourTick {
-		var prices []platform.Price
+		var prices []seam.Price
 		refused := make(map[string]bool)
 		reclaim := ""
 		for i, z := range s.Zones {
 			spot[i] = math.Min(spotHigh, math.Max(spotLow, spot[i]+spotStep*(rng.Float64()-0.5)))
 			prices = append(prices,
-				platform.Price{Zone: z, Class: s.Class, Hourly: 4},
-				platform.Price{Zone: z, Class: s.Class, Reclaimable: true, Hourly: 4 * spot[i]})
+				seam.Price{Zone: z, Class: s.Class, Hourly: 4},
+				seam.Price{Zone: z, Class: s.Class, Reclaimable: true, Hourly: 4 * spot[i]})
 			if rng.Float64() < 0.008*spotLow/spot[i] {
 				reclaim, shut[i] = z, at+time.Duration(3+rng.IntN(6))*time.Minute
 			}
@@ -82,7 +82,7 @@
 	h       Hour
 	p       version.Policy
 	extra   float64
-	boxes   []platform.Box
+	boxes   []seam.Box
 	ready   map[string]time.Time
 	refused map[version.BoxKind]time.Time
 	dear    map[string]time.Time
@@ -131,11 +131,11 @@
 func (r *replay) reclaim(now time.Time, i int) {
 	for j := range r.boxes {
 		b := &r.boxes[j]
-		if b.State == platform.BoxLeaving && !now.Before(b.Deadline) {
-			b.State = platform.BoxGone
+		if b.State == seam.BoxLeaving && !now.Before(b.Deadline) {
+			b.State = seam.BoxGone
 		}
-		if b.State < platform.BoxLeaving && b.Reclaimable && b.Zone == r.h.Reclaim[i] {
-			b.State, b.Deadline = platform.BoxLeaving, now.Add(noticeShort)
+		if b.State < seam.BoxLeaving && b.Reclaimable && b.Zone == r.h.Reclaim[i] {
+			b.State, b.Deadline = seam.BoxLeaving, now.Add(noticeShort)
 			r.lost[b.Zone]++
 		}
 	}
@@ -153,7 +153,7 @@
 	}
 	alive := 0
 	for _, b := range r.boxes {
-		if b.State < platform.BoxLeaving {
+		if b.State < seam.BoxLeaving {
 			alive++
 			if !version.IsDear(in, b) {
 				delete(r.dear, b.ID)
@@ -175,7 +175,7 @@
 	for _, id := range d.Stops {
 		for j := range r.boxes {
 			if r.boxes[j].ID == id {
-				r.boxes[j].State = platform.BoxGone
+				r.boxes[j].State = seam.BoxGone
 			}
 		}
 	}
@@ -190,13 +190,13 @@
 		slot, gen := version.SplitToken(b.Token)
 		newest[slot] = max(newest[slot], gen)
 	}
-	r.boxes = slices.DeleteFunc(r.boxes, func(b platform.Box) bool {
+	r.boxes = slices.DeleteFunc(r.boxes, func(b seam.Box) bool {
 		slot, gen := version.SplitToken(b.Token)
-		return b.State == platform.BoxGone && gen < newest[slot]
+		return b.State == seam.BoxGone && gen < newest[slot]
 	})
 }
 
-func (r *replay) start(now time.Time, o platform.StartOrder, i int) {
+func (r *replay) start(now time.Time, o seam.StartOrder, i int) {
 	if o.Reclaimable && r.h.Refused[i][o.Zone] {
 		r.refused[version.BoxKind{Zone: o.Zone, Class: o.Class, Reclaimable: true}] = now.Add(time.Minute)
 		return
@@ -209,9 +209,9 @@
 	}
 	r.nextID++
 	id := fmt.Sprintf("box-%04d", r.nextID)
-	r.boxes = append(r.boxes, platform.Box{
+	r.boxes = append(r.boxes, seam.Box{
 		ID: id, Token: o.Token, Partner: o.Partner, Service: o.Service, Zone: o.Zone, Class: o.Class,
-		Reclaimable: o.Reclaimable, State: platform.BoxLive,
+		Reclaimable: o.Reclaimable, State: seam.BoxLive,
 	})
 	r.ready[id] = now.Add(bootTime)
 }
@@ -220,7 +220,7 @@
 func (r *replay) serving(now time.Time) float64 {
 	n := 0.0
 	for _, b := range r.boxes {
-		if b.State < platform.BoxGone && !now.Before(r.ready[b.ID]) {
+		if b.State < seam.BoxGone && !now.Before(r.ready[b.ID]) {
 			n++
 		}
 	}
@@ -230,7 +230,7 @@
 // bill adds the price of one tick.
 func (r *replay) bill(i int) {
 	for _, b := range r.boxes {
-		if b.State == platform.BoxGone {
+		if b.State == seam.BoxGone {
 			continue
 		}
 		for _, p := range r.h.Prices[i] {
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -13,9 +13,9 @@
 	"github.com/pkg/errors"
 
 	"streambend.example/internal/plant"
-	"streambend.example/platform"
 	"streambend.example/process"
 	"streambend.example/request"
+	"streambend.example/seam"
 	"streambend.example/version"
 )
 
@@ -33,17 +33,17 @@
 	Hurry    bool          // callers name a deadline: one and a half times the target, less what has passed
 	LogLevel string
 	Progress io.Writer // for a person; nil for none
-	Net      platform.Network
+	Net      seam.Network
 	// DaemonNet is the network that the daemons dial over, to be measured; nil
 	// for Net.
-	DaemonNet platform.Network
+	DaemonNet seam.Network
 	Plant     plant.Fault // set by tests alone
 	Hold      bool        // keep running afterwards until ctx ends
 }
 
 // DefaultOptions returns the options of "streambend try".
 func DefaultOptions() Options {
-	return Options{Seed: 1, Policy: "ours", Daemons: 4, Span: 14 * time.Second, Rate: 1, Flood: 1, Boxes: 1, LogLevel: "error", Net: platform.TCP{}}
+	return Options{Seed: 1, Policy: "ours", Daemons: 4, Span: 14 * time.Second, Rate: 1, Flood: 1, Boxes: 1, LogLevel: "error", Net: seam.TCP{}}
 }
 
 // Policies lists the names that Options.Policy takes.
@@ -229,7 +229,7 @@
 func (t *trial) busiest(partner string) float64 {
 	most, sum, n := 0, 0, 0
 	for _, b := range t.cloud.Boxes() {
-		if b.Partner != partner || b.Class != gpuClass || b.State != platform.BoxLive || !t.first[b.ID] {
+		if b.Partner != partner || b.Class != gpuClass || b.State != seam.BoxLive || !t.first[b.ID] {
 			continue
 		}
 		s := t.ledger.Served(b.ID)
--- a/internal/trial/workload.go
+++ b/internal/trial/workload.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"streambend.example/internal/standin"
-	"streambend.example/platform"
+	"streambend.example/seam"
 	"streambend.example/version"
 )
 
@@ -111,10 +111,10 @@
 }
 
 // prices returns the price of each kind, different by zone.
-func prices(rng *rand.Rand) []platform.Price {
-	var out []platform.Price
+func prices(rng *rand.Rand) []seam.Price {
+	var out []seam.Price
 	for _, z := range append(append([]string{}, bangkok...), manila...) {
-		for _, full := range []platform.Price{{Class: gpuClass, Hourly: 4}, {Class: webClass, Hourly: 0.4}} {
+		for _, full := range []seam.Price{{Class: gpuClass, Hourly: 4}, {Class: webClass, Hourly: 0.4}} {
 			full.Zone = z
 			spot := full
 			spot.Reclaimable, spot.Hourly = true, full.Hourly*(0.25+0.2*rng.Float64())
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -17,8 +17,8 @@
 	"github.com/sirupsen/logrus"
 
 	"streambend.example/internal/standin"
-	"streambend.example/platform"
 	"streambend.example/process"
+	"streambend.example/seam"
 	"streambend.example/version"
 )
 
@@ -69,7 +69,7 @@
 func newWorld(o Options, logs io.Writer) (*world, error) {
 	w := &world{
 		opts: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), store: standin.NewStore(), ledger: standin.NewLedger(),
-		log: logrus.New(), http: platform.HTTPClient(o.Net, 0),
+		log: logrus.New(), http: seam.HTTPClient(o.Net, 0),
 		gone: make(map[*process.Daemon]bool), bad: make(map[string]faulty),
 	}
 	w.log.SetOutput(logs)
@@ -157,7 +157,7 @@
 }
 
 // launch starts the endpoint of a box.
-func (w *world) launch(b platform.Box) standin.Machine {
+func (w *world) launch(b seam.Box) standin.Machine {
 	var svc version.Service
 	for _, s := range services() {
 		if s.Partner == b.Partner && s.Name == b.Service {
@@ -259,7 +259,7 @@
 	err = until(ctx, 15*time.Second, "start of the boxes", func() bool {
 		n := 0
 		for _, b := range w.cloud.Boxes() {
-			if b.State == platform.BoxLive {
+			if b.State == seam.BoxLive {
 				n++
 			}
 		}
--- a/process/bench_test.go
+++ b/process/bench_test.go
@@ -20,25 +20,25 @@
 
 	"streambend.example/conn"
 	"streambend.example/internal/standin"
-	"streambend.example/platform"
 	"streambend.example/process"
+	"streambend.example/seam"
 	"streambend.example/version"
 )
 
 // fixedBoxes is a box list and a cloud that never change.
-type fixedBoxes struct{ boxes []platform.Box }
+type fixedBoxes struct{ boxes []seam.Box }
 
-func (f fixedBoxes) List(context.Context, int64) (platform.BoxPage, error) {
-	return platform.BoxPage{Seq: 1, Boxes: f.boxes}, nil
+func (f fixedBoxes) List(context.Context, int64) (seam.BoxPage, error) {
+	return seam.BoxPage{Seq: 1, Boxes: f.boxes}, nil
 }
-func (fixedBoxes) Start(context.Context, platform.StartOrder) (platform.Box, error) {
-	return platform.Box{}, platform.ErrRefused
+func (fixedBoxes) Start(context.Context, seam.StartOrder) (seam.Box, error) {
+	return seam.Box{}, seam.ErrRefused
 }
 func (fixedBoxes) Stop(context.Context, string, int64) error { return nil }
-func (fixedBoxes) Prices(context.Context) ([]platform.Price, error) {
-	return []platform.Price{{Zone: "silom", Class: "any", Reclaimable: true, Hourly: 0.001}}, nil
+func (fixedBoxes) Prices(context.Context) ([]seam.Price, error) {
+	return []seam.Price{{Zone: "silom", Class: "any", Reclaimable: true, Hourly: 0.001}}, nil
 }
-func (fixedBoxes) Notices(context.Context) ([]platform.Notice, error) { return nil, nil }
+func (fixedBoxes) Notices(context.Context) ([]seam.Notice, error) { return nil, nil }
 
 const benchToken = "bench"
 
@@ -65,8 +65,8 @@
 	s.Pool = 1000
 	f := fixedBoxes{}
 	for i, m := range machines {
-		f.boxes = append(f.boxes, platform.Box{
-			ID: fmt.Sprintf("box-%d", i), Partner: svc.Partner, Service: svc.Name, Zone: "silom", Address: m.Address(), State: platform.BoxLive,
+		f.boxes = append(f.boxes, seam.Box{
+			ID: fmt.Sprintf("box-%d", i), Partner: svc.Partner, Service: svc.Name, Zone: "silom", Address: m.Address(), State: seam.BoxLive,
 		})
 	}
 	table := standin.NewMemory()
@@ -77,7 +77,7 @@
 	require.NoError(tb, err)
 	logger := logrus.New()
 	logger.SetOutput(io.Discard)
-	p := process.Platform{Table: table, Objects: &standin.MemoryObjects{}, Cloud: f, Boxes: f, Network: platform.TCP{}, Close: func() {}}
+	p := process.Platform{Table: table, Objects: &standin.MemoryObjects{}, Cloud: f, Boxes: f, Network: seam.TCP{}, Close: func() {}}
 	d, err := process.New(s, p, logger)
 	require.NoError(tb, err)
 	b := &bench{
@@ -100,7 +100,7 @@
 }
 
 func market(svc version.Service) version.Market {
-	return version.Market{Pool: 1000, Prices: []platform.Price{{Zone: svc.Zones[0], Class: svc.Class, Reclaimable: true, Hourly: 0.001}}}
+	return version.Market{Pool: 1000, Prices: []seam.Price{{Zone: svc.Zones[0], Class: svc.Class, Reclaimable: true, Hourly: 0.001}}}
 }
 
 func service(kind version.Kind, route string) version.Service {
@@ -139,7 +139,7 @@
 // BenchmarkAddedLatency compares plain calls through a daemon with direct
 // ones, 500 a second.
 func BenchmarkAddedLatency(b *testing.B) {
-	w := newBench(b, service(version.Plain, "portal"), standin.NewPlain(platform.TCP{}, time.Millisecond, standin.NewLedger()))
+	w := newBench(b, service(version.Plain, "portal"), standin.NewPlain(seam.TCP{}, time.Millisecond, standin.NewLedger()))
 	get := func(url string) func() error {
 		return func() error {
 			req, _ := http.NewRequest(http.MethodGet, url, nil)
@@ -198,7 +198,7 @@
 	fast := standin.EngineConfig{Batch: 4096, Prefill: 1e9, CacheBlocks: 100, Transfer: 1}
 	var ms []standin.Machine
 	for i := range 4 {
-		ms = append(ms, standin.NewEngine(platform.TCP{}, fmt.Sprint(i), fast, standin.NewLedger()))
+		ms = append(ms, standin.NewEngine(seam.TCP{}, fmt.Sprint(i), fast, standin.NewLedger()))
 	}
 	w := newBench(b, service(version.Model, "digest"), ms...)
 	for b.Loop() {
@@ -224,7 +224,7 @@
 // what the daemon takes for each, half way through 3,000 tokens.
 func BenchmarkStreamMemory(b *testing.B) {
 	slow := standin.EngineConfig{Batch: 4096, Step: 2 * time.Millisecond, Prefill: 1e9, CacheBlocks: 100, Transfer: 1}
-	w := newBench(b, service(version.Model, "digest"), standin.NewEngine(platform.TCP{}, "e", slow, standin.NewLedger()))
+	w := newBench(b, service(version.Model, "digest"), standin.NewEngine(seam.TCP{}, "e", slow, standin.NewLedger()))
 	for b.Loop() {
 		direct := w.held(b, w.direct)
 		through := w.held(b, w.through)
--- a/process/current.go
+++ b/process/current.go
@@ -13,7 +13,7 @@
 
 	"streambend.example/conn"
 	"streambend.example/internal/plant"
-	"streambend.example/platform"
+	"streambend.example/seam"
 	"streambend.example/version"
 )
 
@@ -216,9 +216,9 @@
 }
 
 func (d *Daemon) writeMember(ctx context.Context) {
-	key := platform.Key{Part: memberPart, Sort: d.Self.Name}
+	key := seam.Key{Part: memberPart, Sort: d.Self.Name}
 	it, err := d.tables.report.Get(ctx, key)
-	if err != nil && err != platform.ErrNotFound {
+	if err != nil && err != seam.ErrNotFound {
 		return
 	}
 	var old conn.Member
@@ -227,7 +227,7 @@
 	}
 	v, err := json.Marshal(d.Self)
 	if err == nil {
-		platform.Put(ctx, d.tables.report, uuid.NewString(), platform.Write{Key: key, Rev: it.Rev, Value: v})
+		seam.Put(ctx, d.tables.report, uuid.NewString(), seam.Write{Key: key, Rev: it.Rev, Value: v})
 	}
 }
 
--- a/process/daemon.go
+++ b/process/daemon.go
@@ -16,20 +16,21 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/net/netutil"
 
+	"streambend.example/cloud"
 	"streambend.example/conn"
 	"streambend.example/internal/plant"
-	"streambend.example/platform"
 	"streambend.example/request"
+	"streambend.example/seam"
 	"streambend.example/version"
 )
 
 // Platform is what a daemon needs of the platform.
 type Platform struct {
-	Table   platform.Table
-	Objects platform.Objects
-	Cloud   platform.Cloud
-	Boxes   platform.BoxList
-	Network platform.Network
+	Table   seam.Table
+	Objects seam.Objects
+	Cloud   seam.Cloud
+	Boxes   seam.BoxList
+	Network seam.Network
 	Close   func()      // closes the connections kept
 	Plant   plant.Fault // set by tests alone
 
@@ -39,15 +40,15 @@
 }
 
 // Adapters returns the adapters that the settings name.
-func Adapters(s Settings, n platform.Network) Platform {
-	client := platform.HTTPClient(n, cloudTimeout)
-	cloud := platform.CloudHTTP{Base: s.Platform.Cloud, Client: client}
+func Adapters(s Settings, n seam.Network) Platform {
+	client := seam.HTTPClient(n, cloudTimeout)
+	api := cloud.HTTP{Base: s.Platform.Cloud, Client: client}
 	access := s.Platform.access()
 	access.HTTP = client
 	return Platform{
-		Table:   platform.NewDynamo(access, s.Platform.Table),
-		Objects: platform.NewS3(access, s.Platform.Bucket),
-		Cloud:   cloud, Boxes: cloud, Network: n, Close: client.CloseIdleConnections,
+		Table:   cloud.NewDynamo(access, s.Platform.Table),
+		Objects: cloud.NewS3(access, s.Platform.Bucket),
+		Cloud:   api, Boxes: api, Network: n, Close: client.CloseIdleConnections,
 	}
 }
 
@@ -93,17 +94,17 @@
 
 // tables are the table at each priority, over one bucket.
 type tables struct {
-	claim, lease, config, report platform.Table
+	claim, lease, config, report seam.Table
 }
 
-func newTables(t platform.Table, rate float64) tables {
-	b := platform.NewBucket(rate, max(int(rate), 10))
-	at := func(p platform.Priority) platform.Table {
-		return platform.Limited{Table: t, Bucket: b, Priority: p, Timeout: tableTimeout}
+func newTables(t seam.Table, rate float64) tables {
+	b := seam.NewBucket(rate, max(int(rate), 10))
+	at := func(p seam.Priority) seam.Table {
+		return seam.Limited{Table: t, Bucket: b, Priority: p, Timeout: tableTimeout}
 	}
 	return tables{
-		claim: at(platform.PriorityClaim), lease: at(platform.PriorityLease),
-		config: at(platform.PriorityConfig), report: at(platform.PriorityReport),
+		claim: at(seam.PriorityClaim), lease: at(seam.PriorityLease),
+		config: at(seam.PriorityConfig), report: at(seam.PriorityReport),
 	}
 }
 
@@ -153,7 +154,7 @@
 	callers, operators, peers net.Listener
 }
 
-func listen(l Listen, n platform.Network) (ls listeners, err error) {
+func listen(l Listen, n seam.Network) (ls listeners, err error) {
 	for _, x := range []struct {
 		to   *net.Listener
 		addr string
--- a/process/fleet.go
+++ b/process/fleet.go
@@ -12,8 +12,8 @@
 	"github.com/sirupsen/logrus"
 
 	"streambend.example/conn"
-	"streambend.example/platform"
 	"streambend.example/request"
+	"streambend.example/seam"
 )
 
 // fleet is what this daemon knows of the boxes and their endpoints.
@@ -23,7 +23,7 @@
 
 	mu      sync.Mutex
 	seq     int64
-	boxes   []platform.Box
+	boxes   []seam.Box
 	noticed map[string]time.Time // box to deadline
 	classes map[string]toldClass
 	events  map[string]int64 // box to the last cache event
@@ -99,7 +99,7 @@
 }
 
 // snapshot returns the boxes as last listed.
-func (f *fleet) snapshot() []platform.Box {
+func (f *fleet) snapshot() []seam.Box {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.boxes
--- a/process/http_test.go
+++ b/process/http_test.go
@@ -15,7 +15,7 @@
 
 	"streambend.example/code"
 	"streambend.example/internal/standin"
-	"streambend.example/platform"
+	"streambend.example/seam"
 	"streambend.example/version"
 )
 
@@ -42,7 +42,7 @@
 	fast := standin.EngineConfig{Batch: 64, Prefill: 1e9, CacheBlocks: 100, Transfer: 1}
 	svc := service(version.Model, "digest")
 	svc.Routes = append(svc.Routes, version.Route{Name: "tag", Unrepeatable: true})
-	return newBench(t, svc, standin.NewEngine(platform.TCP{}, "e", fast, standin.NewLedger()))
+	return newBench(t, svc, standin.NewEngine(seam.TCP{}, "e", fast, standin.NewLedger()))
 }
 
 func TestWrongRequestsGetANumberedRefusal(t *testing.T) {
--- a/process/lead.go
+++ b/process/lead.go
@@ -11,7 +11,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
 
-	"streambend.example/platform"
+	"streambend.example/seam"
 	"streambend.example/version"
 )
 
@@ -22,7 +22,7 @@
 	log   *logrus.Entry
 	loads *rate.Limiter // orders to load weights
 
-	prices   []platform.Price // read by placeAll alone
+	prices   []seam.Price // read by placeAll alone
 	pricedAt time.Time
 
 	mu     sync.Mutex
@@ -50,7 +50,7 @@
 
 // orderedBox is a box that the list does not show yet.
 type orderedBox struct {
-	box platform.Box
+	box seam.Box
 	at  time.Time
 }
 
--- a/process/operators.go
+++ b/process/operators.go
@@ -17,7 +17,7 @@
 
 	"streambend.example/code"
 	"streambend.example/conn"
-	"streambend.example/platform"
+	"streambend.example/seam"
 	"streambend.example/version"
 )
 
@@ -136,23 +136,23 @@
 	if err != nil {
 		return p, errors.Wrap(err, "process: plan")
 	}
-	w := platform.Write{Key: planKey(p.Partner, p.ID), Value: v}
-	if err := platform.Put(ctx, o.d.tables.config, uuid.NewString(), w); err != nil {
+	w := seam.Write{Key: planKey(p.Partner, p.ID), Value: v}
+	if err := seam.Put(ctx, o.d.tables.config, uuid.NewString(), w); err != nil {
 		return p, code.New(code.StoreDown, "the plan cannot be kept: %v", err).After(2 * time.Second)
 	}
 	o.log.Infof("plan: %s by %s for %s, base version %d, %.2f to %.2f an hour", p.ID, who.Name, s.Key(), p.Version, p.HourlyLow, p.HourlyHigh)
 	return p, nil
 }
 
-func planKey(partner, id string) platform.Key {
-	return platform.Key{Part: planPart, Sort: partner + "/" + id}
+func planKey(partner, id string) seam.Key {
+	return seam.Key{Part: planPart, Sort: partner + "/" + id}
 }
 
 func (o *operators) load(ctx context.Context, who Operator, id string) (version.Plan, error) {
 	var p version.Plan
 	it, err := o.d.tables.config.Get(ctx, planKey(who.Partner, id))
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, seam.ErrNotFound):
 		return p, code.New(code.NoSuchPlan, "%s", id)
 	case err != nil:
 		return p, code.New(code.StoreDown, "%v", err).After(2 * time.Second)
--- a/process/place.go
+++ b/process/place.go
@@ -10,7 +10,7 @@
 	"github.com/pkg/errors"
 
 	"streambend.example/conn"
-	"streambend.example/platform"
+	"streambend.example/seam"
 	"streambend.example/version"
 )
 
@@ -57,7 +57,7 @@
 }
 
 // place decides for one service and carries the decision out.
-func (l *lead) place(svc version.Service, s *shard, prices []platform.Price) {
+func (l *lead) place(svc version.Service, s *shard, prices []seam.Price) {
 	now := time.Now()
 	in := l.input(now, svc, s, prices)
 	dec := version.Place(now, in, version.Policy(l.d.Settings.Place))
@@ -81,7 +81,7 @@
 }
 
 // input gathers what the policy decides from.
-func (l *lead) input(now time.Time, svc version.Service, s *shard, prices []platform.Price) version.PlaceInput {
+func (l *lead) input(now time.Time, svc version.Service, s *shard, prices []seam.Price) version.PlaceInput {
 	boxes := l.boxesOf(now, svc, s)
 	in := version.PlaceInput{
 		Service: svc, Prices: prices, Boxes: boxes, Refused: s.refused, Loss: lossShare(s.lost, boxes),
@@ -91,7 +91,7 @@
 	in.Need = s.need.boxes(now, float64(demand)/float64(svc.PerBox))
 	alive := 0
 	for _, b := range boxes {
-		if b.State > platform.BoxLive {
+		if b.State > seam.BoxLive {
 			continue
 		}
 		alive++
@@ -114,8 +114,8 @@
 
 // boxesOf returns the service's boxes: the list, what we ordered and the list
 // does not show yet, and what we know to be leaving.
-func (l *lead) boxesOf(now time.Time, svc version.Service, s *shard) []platform.Box {
-	var out []platform.Box
+func (l *lead) boxesOf(now time.Time, svc version.Service, s *shard) []seam.Box {
+	var out []seam.Box
 	listed := make(map[string]bool)
 	for _, b := range l.d.fleet.snapshot() {
 		if b.Partner != svc.Partner || b.Service != svc.Name {
@@ -123,9 +123,9 @@
 		}
 		listed[b.ID] = true
 		if _, stopping := s.stopping[b.ID]; stopping || l.d.fleet.leaves(b.ID) {
-			b.State = max(b.State, platform.BoxLeaving)
+			b.State = max(b.State, seam.BoxLeaving)
 		}
-		if b.State >= platform.BoxLeaving && b.Reclaimable && !s.seenGone[b.ID] {
+		if b.State >= seam.BoxLeaving && b.Reclaimable && !s.seenGone[b.ID] {
 			s.seenGone[b.ID] = true
 			s.lost[b.Zone]++
 		}
@@ -150,7 +150,7 @@
 }
 
 // lossShare turns losses into a share of the zone's boxes; the counts fade.
-func lossShare(lost map[string]float64, boxes []platform.Box) map[string]float64 {
+func lossShare(lost map[string]float64, boxes []seam.Box) map[string]float64 {
 	const fade = 0.9995 // of a placement period
 	have := make(map[string]float64)
 	for _, b := range boxes {
@@ -166,7 +166,7 @@
 
 // start orders one box. The token is the same whoever orders for the same
 // slot, so two daemons that both believe they hold the lease start one box.
-func (l *lead) start(svc version.Service, s *shard, o platform.StartOrder) {
+func (l *lead) start(svc version.Service, s *shard, o seam.StartOrder) {
 	kind := version.BoxKind{Zone: o.Zone, Class: o.Class, Reclaimable: o.Reclaimable}
 	for range maxGenerations {
 		if !l.mayStart(s) {
@@ -176,7 +176,7 @@
 		ctx, cancel := context.WithTimeout(l.d.ctx, orderLongest)
 		b, err := l.d.plat.Cloud.Start(ctx, o)
 		cancel()
-		if errors.Is(err, platform.ErrRefused) {
+		if errors.Is(err, seam.ErrRefused) {
 			s.backoff[kind] = min(max(2*s.backoff[kind], refuseFirst), refuseMost)
 			l.mu.Lock()
 			s.refused[kind] = time.Now().Add(s.backoff[kind])
@@ -188,7 +188,7 @@
 			l.log.Warnf("place: %s start %s: %v", svc.Key(), o.Token, err)
 			return
 		}
-		if b.State >= platform.BoxLeaving {
+		if b.State >= seam.BoxLeaving {
 			o.Token = version.NextGeneration(o.Token)
 			continue
 		}
@@ -221,13 +221,13 @@
 // loadWeights orders new boxes to load the service's model, no faster than
 // the weight store allows. An engine that does not check fences gets its order
 // only when every order of an earlier holder must be over.
-func (l *lead) loadWeights(svc version.Service, s *shard, boxes []platform.Box) {
+func (l *lead) loadWeights(svc version.Service, s *shard, boxes []seam.Box) {
 	if svc.Kind != version.Model || svc.Model == "" {
 		return
 	}
 	term := l.d.Settings.Timing.Lease.Duration
 	for _, b := range boxes {
-		if b.State != platform.BoxLive || b.Address == "" || s.loaded[b.ID] {
+		if b.State != seam.BoxLive || b.Address == "" || s.loaded[b.ID] {
 			continue
 		}
 		epoch, held := l.held(s)
--- a/process/settings.go
+++ b/process/settings.go
@@ -16,8 +16,8 @@
 	"github.com/go-viper/mapstructure/v2"
 	"github.com/pkg/errors"
 
+	"streambend.example/cloud"
 	"streambend.example/code"
-	"streambend.example/platform"
 	"streambend.example/version"
 )
 
@@ -304,6 +304,6 @@
 }
 
 // access returns how table and object store are reached.
-func (p PlatformSettings) access() platform.Access {
-	return platform.Access{Endpoint: p.Endpoint, Region: p.Region, KeyID: p.KeyID, Secret: p.Secret}
+func (p PlatformSettings) access() cloud.Access {
+	return cloud.Access{Endpoint: p.Endpoint, Region: p.Region, KeyID: p.KeyID, Secret: p.Secret}
 }
--- a/process/status.go
+++ b/process/status.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"streambend.example/platform"
+	"streambend.example/seam"
 	"streambend.example/version"
 )
 
@@ -60,7 +60,7 @@
 	Endpoints []endpointStatus `json:"endpoints"`
 	Leases    []leaseStatus    `json:"leases"`
 	Refused   []refusedStatus  `json:"refused_starts"`
-	Prices    []platform.Price `json:"prices"`
+	Prices    []seam.Price     `json:"prices"`
 }
 
 func (o *operators) serveStatus(ctx context.Context, who Operator, _ *http.Request) (any, error) {
@@ -71,7 +71,7 @@
 		Services: []serviceStatus{}, Endpoints: []endpointStatus{}, Leases: []leaseStatus{}, Refused: []refusedStatus{},
 		Prices: o.market(ctx).Prices,
 	}
-	boxes := make(map[string]platform.Box)
+	boxes := make(map[string]seam.Box)
 	for _, b := range d.fleet.snapshot() {
 		boxes[b.ID] = b
 	}
@@ -90,7 +90,7 @@
 	return st, nil
 }
 
-func (st *Status) add(now time.Time, d *Daemon, s version.Service, boxes map[string]platform.Box) {
+func (st *Status) add(now time.Time, d *Daemon, s version.Service, boxes map[string]seam.Box) {
 	w := d.Server.Works.Get(&s)
 	running, queued := w.Queue.State()
 	ss := serviceStatus{
--- a/request/claim.go
+++ b/request/claim.go
@@ -12,7 +12,7 @@
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 	"github.com/pkg/errors"
 
-	"streambend.example/platform"
+	"streambend.example/seam"
 )
 
 const claimPart = "claim"
@@ -50,13 +50,13 @@
 	State ClaimState
 	Row   ClaimRow
 	rev   int64
-	key   platform.Key
+	key   seam.Key
 }
 
 // Claims keeps the rows that make an unrepeatable request run at most once.
 type Claims struct {
 	Self  string // unique to this start of the daemon
-	Table platform.Table
+	Table seam.Table
 
 	mu       sync.Mutex
 	released *simplelru.LRU[string, bool] // claims given up before sending
@@ -64,7 +64,7 @@
 }
 
 // NewClaims returns the claims of a daemon.
-func NewClaims(self string, t platform.Table) *Claims {
+func NewClaims(self string, t seam.Table) *Claims {
 	// A release that is forgotten makes a repeat unknown, never a second run.
 	released, _ := simplelru.NewLRU[string, bool](releasedKept, nil)
 	taken, _ := simplelru.NewLRU[string, bool](releasedKept, nil)
@@ -73,7 +73,7 @@
 
 // Take claims the request of a name before its first byte is sent.
 func (c *Claims) Take(ctx context.Context, now time.Time, name string, body uint64) Claim {
-	return c.put(ctx, now, Claim{key: platform.Key{Part: claimPart, Sort: name}}, body)
+	return c.put(ctx, now, Claim{key: seam.Key{Part: claimPart, Sort: name}}, body)
 }
 
 // Over takes a claim over from a holder that has said it did not run it.
@@ -87,12 +87,12 @@
 	if err != nil {
 		return Claim{State: ClaimDown, key: from.key}
 	}
-	err = platform.Put(ctx, c.Table, uuid.NewString(), platform.Write{Key: from.key, Rev: from.rev, Value: v})
+	err = seam.Put(ctx, c.Table, uuid.NewString(), seam.Write{Key: from.key, Rev: from.rev, Value: v})
 	switch {
 	case err == nil:
 		c.mark(from.key.Sort)
 		return cl
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, seam.ErrConflict):
 		return c.read(ctx, from.key)
 	default:
 		// The row may stand although the table could not say so. Nothing is
@@ -105,7 +105,7 @@
 	}
 }
 
-func (c *Claims) read(ctx context.Context, key platform.Key) Claim {
+func (c *Claims) read(ctx context.Context, key seam.Key) Claim {
 	it, err := c.Table.Get(ctx, key)
 	if err != nil {
 		return Claim{State: ClaimDown, key: key}
@@ -158,7 +158,7 @@
 // Release gives a claim up whose request was not sent.
 func (c *Claims) Release(ctx context.Context, cl Claim) {
 	c.remember(cl.key.Sort)
-	w := platform.Write{Key: cl.key, Rev: cl.rev, Delete: true}
+	w := seam.Write{Key: cl.key, Rev: cl.rev, Delete: true}
 	if c.Table.Write(ctx, uuid.NewString(), w) == nil {
 		c.forget(cl.key.Sort)
 	}
@@ -176,5 +176,5 @@
 	if err != nil {
 		return errors.Wrap(err, "request: claim")
 	}
-	return platform.Put(ctx, c.Table, uuid.NewString(), platform.Write{Key: cl.key, Rev: cl.rev, Value: v})
+	return seam.Put(ctx, c.Table, uuid.NewString(), seam.Write{Key: cl.key, Rev: cl.rev, Value: v})
 }
--- a/request/pool.go
+++ b/request/pool.go
@@ -11,7 +11,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
-	"streambend.example/platform"
+	"streambend.example/seam"
 )
 
 // Pool is the endpoints of one service. Routing reads a list that is replaced
@@ -104,7 +104,7 @@
 
 // Sync brings the pool in line with the box list and returns the endpoints
 // that the list shows as leaving and that were not known to be.
-func (p *Pool) Sync(boxes []platform.Box) (leaving []platform.Box) {
+func (p *Pool) Sync(boxes []seam.Box) (leaving []seam.Box) {
 	listed := make(map[string]bool)
 	for _, b := range boxes {
 		if b.Partner+"/"+b.Service != p.Service {
@@ -112,11 +112,11 @@
 		}
 		listed[b.ID] = true
 		switch {
-		case b.State == platform.BoxGone:
+		case b.State == seam.BoxGone:
 			p.Remove(b.ID)
 		case b.Address != "":
 			t := p.Add(Endpoint{ID: b.ID, Service: p.Service, Zone: b.Zone, Address: b.Address, Reclaimable: b.Reclaimable})
-			if t == nil || b.State != platform.BoxLeaving {
+			if t == nil || b.State != seam.BoxLeaving {
 				continue
 			}
 			if _, known := t.Leaving(); !known {
--- a/platform/cloud.go
+++ b/seam/cloud.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-package platform
+package seam
 
 import (
 	"context"
@@ -79,7 +79,7 @@
 
 type refused struct{}
 
-func (refused) Error() string { return "platform: start refused" }
+func (refused) Error() string { return "seam: start refused" }
 
 // Cloud orders boxes.
 type Cloud interface {
--- a/platform/limit.go
+++ b/seam/limit.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-package platform
+package seam
 
 import (
 	"context"
--- a/platform/table.go
+++ b/seam/table.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-package platform
+package seam
 
 import (
 	"context"
@@ -12,12 +12,12 @@
 // effect.
 var (
 	// ErrConflict says that a condition did not hold; nothing was written.
-	ErrConflict = errors.New("platform: condition does not hold")
+	ErrConflict = errors.New("seam: condition does not hold")
 	// ErrLimited says that the client-side rate limit kept the call back;
 	// nothing was sent.
-	ErrLimited = errors.New("platform: over the rate limit")
+	ErrLimited = errors.New("seam: over the rate limit")
 	// ErrNotFound says that the object does not exist.
-	ErrNotFound = errors.New("platform: not found")
+	ErrNotFound = errors.New("seam: not found")
 )
 
 // Ambiguous reports whether err leaves open if the write took effect.
--- a/version/lease.go
+++ b/version/lease.go
@@ -10,7 +10,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
-	"streambend.example/platform"
+	"streambend.example/seam"
 )
 
 const leasePart = "lease"
@@ -23,10 +23,10 @@
 }
 
 // ReadLease returns who holds a shard, or an empty row if nobody has yet.
-func ReadLease(ctx context.Context, t platform.Table, shard string) (LeaseRow, error) {
+func ReadLease(ctx context.Context, t seam.Table, shard string) (LeaseRow, error) {
 	var row LeaseRow
-	it, err := t.Get(ctx, platform.Key{Part: leasePart, Sort: shard})
-	if errors.Is(err, platform.ErrNotFound) {
+	it, err := t.Get(ctx, seam.Key{Part: leasePart, Sort: shard})
+	if errors.Is(err, seam.ErrNotFound) {
 		return row, nil
 	}
 	if err != nil {
@@ -59,11 +59,11 @@
 // Holder returns the holder that was last read.
 func (l *Lease) Holder() LeaseRow { return l.row }
 
-func (l *Lease) key() platform.Key { return platform.Key{Part: leasePart, Sort: l.Shard} }
+func (l *Lease) key() seam.Key { return seam.Key{Part: leasePart, Sort: l.Shard} }
 
 // Step reads the lease, and renews it or takes it where that is due. The time
 // is the one before the call.
-func (l *Lease) Step(ctx context.Context, now time.Time, t platform.Table) error {
+func (l *Lease) Step(ctx context.Context, now time.Time, t seam.Table) error {
 	if l.seen.IsZero() {
 		// The read that found this revision is over by now, however long
 		// it took, and the holder's term began before it.
@@ -93,9 +93,9 @@
 	return LeaseRow{}, false
 }
 
-func (l *Lease) read(ctx context.Context, now time.Time, t platform.Table) error {
+func (l *Lease) read(ctx context.Context, now time.Time, t seam.Table) error {
 	it, err := t.Get(ctx, l.key())
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, seam.ErrNotFound) {
 		l.row, l.rev, l.seen = LeaseRow{}, 0, time.Time{}
 		return nil
 	}
@@ -116,18 +116,18 @@
 	return nil
 }
 
-func (l *Lease) write(ctx context.Context, now time.Time, t platform.Table, row LeaseRow) error {
+func (l *Lease) write(ctx context.Context, now time.Time, t seam.Table, row LeaseRow) error {
 	v, err := json.Marshal(row)
 	if err != nil {
 		return errors.Wrap(err, "version: lease")
 	}
-	err = platform.Put(ctx, t, uuid.NewString(), platform.Write{Key: l.key(), Rev: l.rev, Value: v})
+	err = seam.Put(ctx, t, uuid.NewString(), seam.Write{Key: l.key(), Rev: l.rev, Value: v})
 	switch {
 	case err == nil:
 		l.row, l.rev, l.seen = row, l.rev+1, now
 		l.heldUntil = now.Add(l.Term - l.Margin)
 		return nil
-	case errors.Is(err, platform.ErrConflict):
+	case errors.Is(err, seam.ErrConflict):
 		// Another daemon wrote first: ours is over, whatever the clock says.
 		l.heldUntil, l.rev = time.Time{}, 0
 		return l.read(ctx, now, t)
@@ -143,7 +143,7 @@
 func (l *Lease) Drop() { l.heldUntil = time.Time{} }
 
 // Release frees the lease, so that the next daemon need not wait out the term.
-func (l *Lease) Release(ctx context.Context, now time.Time, t platform.Table) error {
+func (l *Lease) Release(ctx context.Context, now time.Time, t seam.Table) error {
 	if _, held := l.Held(now); !held {
 		return nil
 	}
--- a/version/lease_test.go
+++ b/version/lease_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"streambend.example/internal/standin"
-	"streambend.example/platform"
+	"streambend.example/seam"
 	"streambend.example/version"
 )
 
@@ -24,7 +24,7 @@
 // slowTable lets time pass within a call, before and after its effect, and
 // another daemon act while a call is on its way.
 type slowTable struct {
-	platform.Table
+	seam.Table
 	now    *time.Time
 	before time.Duration
 	after  time.Duration
@@ -39,14 +39,14 @@
 	}
 }
 
-func (s *slowTable) Get(ctx context.Context, k platform.Key) (platform.Item, error) {
+func (s *slowTable) Get(ctx context.Context, k seam.Key) (seam.Item, error) {
 	s.travel()
 	it, err := s.Table.Get(ctx, k)
 	*s.now = s.now.Add(s.after)
 	return it, err
 }
 
-func (s *slowTable) Write(ctx context.Context, nonce string, ws ...platform.Write) error {
+func (s *slowTable) Write(ctx context.Context, nonce string, ws ...seam.Write) error {
 	s.travel()
 	err := s.Table.Write(ctx, nonce, ws...)
 	*s.now = s.now.Add(s.after)
--- a/version/log.go
+++ b/version/log.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 
 	"streambend.example/code"
-	"streambend.example/platform"
+	"streambend.example/seam"
 )
 
 const (
@@ -27,8 +27,8 @@
 // Log is the configuration log in the platform's table, with snapshots in the
 // object store.
 type Log struct {
-	Table   platform.Table
-	Objects platform.Objects // nil for no snapshots
+	Table   seam.Table
+	Objects seam.Objects // nil for no snapshots
 }
 
 // sortKey orders versions as text; the store sorts keys as bytes.
@@ -91,9 +91,9 @@
 
 func (l Log) snapshot(ctx context.Context) (*Config, error) {
 	if l.Objects == nil {
-		return nil, platform.ErrNotFound
+		return nil, seam.ErrNotFound
 	}
-	it, err := l.Table.Get(ctx, platform.Key{Part: pointerPart, Sort: pointerSort})
+	it, err := l.Table.Get(ctx, seam.Key{Part: pointerPart, Sort: pointerSort})
 	if err != nil {
 		return nil, err
 	}
@@ -120,12 +120,12 @@
 	if err != nil {
 		return errors.Wrap(err, "version: snapshot")
 	}
-	if err := l.Objects.Put(ctx, snapshotName(c.Version), b); err != nil && !errors.Is(err, platform.ErrConflict) {
+	if err := l.Objects.Put(ctx, snapshotName(c.Version), b); err != nil && !errors.Is(err, seam.ErrConflict) {
 		return err
 	}
-	key := platform.Key{Part: pointerPart, Sort: pointerSort}
+	key := seam.Key{Part: pointerPart, Sort: pointerSort}
 	it, err := l.Table.Get(ctx, key)
-	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+	if err != nil && !errors.Is(err, seam.ErrNotFound) {
 		return err
 	}
 	var p pointer
@@ -133,7 +133,7 @@
 		return nil
 	}
 	v, _ := json.Marshal(pointer{Version: c.Version})
-	return platform.Put(ctx, l.Table, uuid.NewString(), platform.Write{Key: key, Rev: it.Rev, Value: v})
+	return seam.Put(ctx, l.Table, uuid.NewString(), seam.Write{Key: key, Rev: it.Rev, Value: v})
 }
 
 // nonce names the attempt to write a plan as a version. The same attempt has
@@ -165,14 +165,14 @@
 		if err != nil {
 			return c, all, errors.Wrap(err, "version: entry")
 		}
-		w := platform.Write{Key: platform.Key{Part: logPart, Sort: sortKey(e.Version)}, Value: v}
-		err = platform.Put(ctx, l.Table, nonce(p.ID, e.Version), w)
+		w := seam.Write{Key: seam.Key{Part: logPart, Sort: sortKey(e.Version)}, Value: v}
+		err = seam.Put(ctx, l.Table, nonce(p.ID, e.Version), w)
 		switch {
 		case err == nil:
 			return c.Apply(e), append(all, e), nil
-		case errors.Is(err, platform.ErrConflict):
+		case errors.Is(err, seam.ErrConflict):
 			continue // another change came first; read it and check again
-		case platform.Ambiguous(err):
+		case seam.Ambiguous(err):
 			return c, all, code.New(code.OutcomeUnclear, "%v", err).After(time.Second)
 		default:
 			return c, all, code.New(code.StoreDown, "%v", err).After(time.Second)
--- a/version/log_test.go
+++ b/version/log_test.go
@@ -14,7 +14,7 @@
 
 	"streambend.example/code"
 	"streambend.example/internal/standin"
-	"streambend.example/platform"
+	"streambend.example/seam"
 	"streambend.example/version"
 )
 
@@ -31,7 +31,7 @@
 }
 
 func market() version.Market {
-	return version.Market{Pool: pool, Prices: []platform.Price{
+	return version.Market{Pool: pool, Prices: []seam.Price{
 		{Zone: "silom", Class: "web", Reclaimable: true, Hourly: 1},
 		{Zone: "bangna", Class: "web", Reclaimable: true, Hourly: 2},
 		{Zone: "silom", Class: "web", Hourly: 5},
@@ -197,18 +197,18 @@
 // headLog is the log that the design brief began with: a head row and an item
 // for each version, written in one transaction. It stands here to be measured
 // against.
-type headLog struct{ table platform.Table }
+type headLog struct{ table seam.Table }
 
 func (h headLog) commit(ctx context.Context, n int) error {
-	head := platform.Key{Part: "head", Sort: "head"}
+	head := seam.Key{Part: "head", Sort: "head"}
 	it, err := h.table.Get(ctx, head)
-	if err != nil && err != platform.ErrNotFound {
+	if err != nil && err != seam.ErrNotFound {
 		return err
 	}
 	v := []byte(fmt.Sprint(n))
 	return h.table.Write(ctx, fmt.Sprintf("commit-%d", n),
-		platform.Write{Key: head, Rev: it.Rev, Value: v},
-		platform.Write{Key: platform.Key{Part: "config", Sort: fmt.Sprintf("%020d", it.Rev+1)}, Value: v})
+		seam.Write{Key: head, Rev: it.Rev, Value: v},
+		seam.Write{Key: seam.Key{Part: "config", Sort: fmt.Sprintf("%020d", it.Rev+1)}, Value: v})
 }
 
 // BenchmarkLogUnits bills a commit and a poll of both logs.
--- a/version/place.go
+++ b/version/place.go
@@ -13,7 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"streambend.example/platform"
+	"streambend.example/seam"
 )
 
 // Policy names a placement policy.
@@ -45,8 +45,8 @@
 type PlaceInput struct {
 	Service Service
 	Need    int // boxes that the demand needs
-	Prices  []platform.Price
-	Boxes   []platform.Box        // of the service, gone ones too
+	Prices  []seam.Price
+	Boxes   []seam.Box            // of the service, gone ones too
 	Refused map[BoxKind]time.Time // until when a kind is not asked for
 	Loss    map[string]float64    // share of a zone's boxes lost an hour
 	Swap    time.Duration         // how long a better price must stand; zero for never
@@ -57,7 +57,7 @@
 
 // PlaceDecision is what to order now.
 type PlaceDecision struct {
-	Starts  []platform.StartOrder
+	Starts  []seam.StartOrder
 	Stops   []string
 	Want    int
 	Present int
@@ -141,7 +141,7 @@
 // view is the state of the fleet that a placement decision works on.
 type view struct {
 	in     PlaceInput
-	alive  []platform.Box
+	alive  []seam.Box
 	zone   map[string]int      // reclaimable boxes alive, by zone
 	hourly map[BoxKind]float64 // price now
 	used   map[string]int      // slot prefix to highest generation seen
@@ -160,7 +160,7 @@
 	for _, b := range in.Boxes {
 		slot, gen := SplitToken(b.Token)
 		v.used[slot] = max(v.used[slot], gen)
-		if b.State == platform.BoxStarting || b.State == platform.BoxLive {
+		if b.State == seam.BoxStarting || b.State == seam.BoxLive {
 			v.busy[slot] = true
 			v.alive = append(v.alive, b)
 			v.spent += v.price(b)
@@ -172,11 +172,11 @@
 	return v
 }
 
-func kindOf(b platform.Box) BoxKind {
+func kindOf(b seam.Box) BoxKind {
 	return BoxKind{Zone: b.Zone, Class: b.Class, Reclaimable: b.Reclaimable}
 }
 
-func (v *view) price(b platform.Box) float64 {
+func (v *view) price(b seam.Box) float64 {
 	if p, ok := v.hourly[kindOf(b)]; ok {
 		return p
 	}
@@ -211,7 +211,7 @@
 
 // start takes the lowest free slot of a kind. Whoever decides from the same
 // boxes takes the same slot, so a second order for it has no second effect.
-func (v *view) start(k BoxKind) platform.StartOrder {
+func (v *view) start(k BoxKind) seam.StartOrder {
 	for slot := 0; ; slot++ {
 		p := slotPrefix(v.in.Service.Key(), k, slot)
 		if v.busy[p] {
@@ -222,7 +222,7 @@
 			v.zone[k.Zone]++
 		}
 		v.spent += v.hourly[k]
-		return platform.StartOrder{
+		return seam.StartOrder{
 			Token: fmt.Sprintf("%s-%d", p, v.used[p]+1), Partner: v.in.Service.Partner, Service: v.in.Service.Name,
 			Zone: k.Zone, Class: k.Class, Reclaimable: k.Reclaimable,
 		}
@@ -288,13 +288,13 @@
 // then by price now.
 func (v *view) dearest(n, perZone int) []string {
 	bs := slices.Clone(v.alive)
-	over := func(b platform.Box) int {
+	over := func(b seam.Box) int {
 		if b.Reclaimable && v.zone[b.Zone] > perZone {
 			return 1
 		}
 		return 0
 	}
-	slices.SortFunc(bs, func(a, b platform.Box) int {
+	slices.SortFunc(bs, func(a, b seam.Box) int {
 		return cmp.Or(over(b)-over(a), cmp.Compare(v.price(b), v.price(a)), strings.Compare(a.ID, b.ID))
 	})
 	ids := make([]string, 0, n)
@@ -326,7 +326,7 @@
 
 // IsDear reports whether a box costs more than swapRatio times the cheapest
 // kind of its class.
-func IsDear(in PlaceInput, b platform.Box) bool {
+func IsDear(in PlaceInput, b seam.Box) bool {
 	v := newView(in)
 	best := math.Inf(1)
 	for _, p := range in.Prices {
--- a/version/plan.go
+++ b/version/plan.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 
 	"streambend.example/code"
-	"streambend.example/platform"
+	"streambend.example/seam"
 )
 
 // PlanLife is how long a plan can be confirmed.
@@ -55,7 +55,7 @@
 
 // Market is what a plan needs to know of the platform.
 type Market struct {
-	Prices []platform.Price
+	Prices []seam.Price
 	Pool   int // boxes of the shared pool
 }
 
@@ -134,7 +134,7 @@
 }
 
 // estimate fills in boxes, cost and attainment from the placement policy.
-func estimate(p *Plan, prices []platform.Price) error {
+func estimate(p *Plan, prices []seam.Price) error {
 	s := p.Service
 	in := PlaceInput{Service: s, Need: s.MinBoxes, Prices: prices}
 	low := allocate(in, Ours)
