entry: serve the users' platform, thin

A daemon for the entry boxes: catalog and endpoints from the store's feeds, requests through the same request.Server as our own interface, tallies between daemons, usage and scaling under one lease. platform/ holds names, formats and calls alone.

--- a/cmd/streambend/main.go
+++ b/cmd/streambend/main.go
@@ -33,6 +33,7 @@
 		{"try", "Run daemons among stand-ins, make things fail, and check every promise", newTry()},
 		{"bench", "Compare our policies with the baselines", &benchCommand{}},
 		{"serve", "Run a daemon", &serveCommand{}},
+		{"entry", "Run a daemon on an entry box of the users' platform", &entryCommand{}},
 		{"check", "Check a daemon's settings", &checkCommand{}},
 		{"intent", "Submit, confirm and look at intents", &intentCommand{}},
 		{"status", "Show boxes, endpoints, leases and versions", &statusCommand{}},
--- a/conn/mesh.go
+++ b/conn/mesh.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -89,6 +90,27 @@
 	return len(m.neighbours)
 }
 
+// NeighbourNames returns the members with which links are up.
+func (m *Mesh) NeighbourNames() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Sorted(maps.Keys(m.neighbours))
+}
+
+// Known returns all members remembered that have not stopped as planned, the
+// dead ones too.
+func (m *Mesh) Known() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []Member
+	for _, k := range m.members {
+		if k.State != MemberLeft {
+			out = append(out, k.Member)
+		}
+	}
+	return out
+}
+
 // Learn takes in members found elsewhere, such as in the table.
 func (m *Mesh) Learn(now time.Time, ms []Member) {
 	m.mu.Lock()
--- /dev/null
+++ b/entry/codec.go
@@ -0,0 +1,41 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"net/http"
+	"strconv"
+
+	"streambend.example/platform"
+	"streambend.example/request"
+)
+
+// codec speaks the platform's protocol towards endpoints for one request.
+type codec struct {
+	in      http.Header // the caller's headers that go on
+	team    string
+	urgency int // 0 first; negative for not said
+}
+
+// Head implements request.Codec.
+func (c *codec) Head(a request.Attempt) http.Header {
+	h := c.in.Clone()
+	s := platform.Send{Instance: a.Endpoint, Team: c.team, Left: a.Left, Urgency: c.urgency}
+	if a.Resume {
+		s.After = strconv.FormatInt(a.After, 10)
+	}
+	s.Mark(h)
+	return h
+}
+
+// Read implements request.Codec.
+func (c *codec) Read(status int, h http.Header) request.AnswerHead {
+	a := platform.ReadHead(status, h)
+	return request.AnswerHead{
+		ID: a.ID, NotRun: a.NotRun, Signed: a.Signed,
+		Load: a.Load.Running + a.Load.Waiting, Slots: a.Load.Slots, HasLoad: a.HasLoad,
+	}
+}
+
+// Copy implements request.Codec.
+func (c *codec) Copy(to, from http.Header) { platform.CopyAnswer(to, from) }
--- /dev/null
+++ b/entry/daemon.go
@@ -0,0 +1,308 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"streambend.example/conn"
+	"streambend.example/platform"
+	"streambend.example/request"
+	"streambend.example/seam"
+)
+
+const (
+	// headerWait and idleWait bound what a silent caller costs. They are beyond
+	// what any catalog has named, since a caller may use what the catalog allows.
+	headerWait = 10 * time.Second
+	idleWait   = time.Minute
+	// dialLimit is how long a connection within the partner's zones may take.
+	dialLimit = 400 * time.Millisecond
+	// silentLimit is how long sent bytes may stay unacknowledged until the
+	// connection is given up.
+	silentLimit = 3 * time.Second
+	// ownTable is the store's table of the project's own rows.
+	ownTable = "streambend"
+	// tickPeriod is how often what changes by time alone is brought up to date.
+	tickPeriod = 100 * time.Millisecond
+	// gossipPeriod is how often daemons exchange their tallies.
+	gossipPeriod = 250 * time.Millisecond
+	// resendPeriod is how often neighbours are sent all tallies again, in case
+	// a frame was lost with its link.
+	resendPeriod = 3 * time.Second
+)
+
+// Daemon is a running daemon.
+type Daemon struct {
+	Site   platform.Site
+	Self   conn.Member
+	Server *request.Server
+	Hub    *conn.Hub
+
+	log     *logrus.Logger
+	store   *platform.Store
+	table   *platform.Table
+	cloud   *platform.Cloud
+	catalog catalogKeeper
+	runners runnerKeeper
+	tallies *Tallies
+	quotas  *Quotas
+	duties  *duties
+	meters  *meters
+	outside *http.Client // towards store and cloud
+
+	callers  *http.Server
+	checks   *http.Server
+	peers    *http.Server
+	stopping atomic.Bool
+	ready    atomic.Bool
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+}
+
+// Network returns the network of a daemon at a site.
+func Network() seam.Network { return seam.TCP{DialTimeout: dialLimit, SilentTimeout: silentLimit} }
+
+// New starts a daemon. It is ready once it knows the catalog and the endpoints.
+func New(site platform.Site, n seam.Network, log *logrus.Logger) (*Daemon, error) {
+	ls, err := listen(site, n)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{Site: site, log: log, meters: newMeters(), quotas: NewQuotas()}
+	d.ctx, d.cancel = context.WithCancel(context.Background())
+	d.Self = conn.Member{Name: site.Name, Start: time.Now().UnixMilli(), Address: site.PeerAddr, Zone: site.Zone}
+	d.outside = seam.HTTPClient(n, 0)
+	d.store = platform.NewStore(site.Store, d.outside)
+	d.table = &platform.Table{Store: d.store, Name: ownTable}
+	d.cloud = platform.NewCloud(site.Cloud, d.outside)
+	d.catalog.d = d
+	d.runners = runnerKeeper{d: d, byID: make(map[string]platform.Runner), missing: make(map[string]bool)}
+	d.tallies = NewTallies(d.Self)
+	d.Server = request.NewServer(d.options(), conn.NewClient(n, defaultBody), nil, nil, log)
+	mesh := conn.NewMesh(d.Self, conn.DefaultTiming())
+	// The links are inside the platform's own network; the word that signs them
+	// keeps deployments apart, it is no secret.
+	d.Hub = conn.NewHub(mesh, d.Self, n, "streambend "+site.Store, log, d.take, d.answer)
+	d.duties = newDuties(d)
+	d.gauges()
+	d.serve(ls)
+	d.background()
+	log.WithFields(logrus.Fields{"part": "process", "daemon": site.Name, "zone": site.Zone}).Infof("start: %s", site)
+	return d, nil
+}
+
+// options returns the request options for this site.
+func (d *Daemon) options() request.Options {
+	o := request.Defaults()
+	o.Zone = d.Site.Zone
+	o.Grace = 0 // the caller is gone at its deadline
+	o.NoLimit = true
+	o.RouteWait = comeBack
+	b := d.Site.Bounds
+	o.Retry = &request.RetryBound{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack, Daemons: func() int { return len(d.Hub.Mesh.Members()) }}
+	return o
+}
+
+type listeners struct{ callers, checks, peers net.Listener }
+
+func listen(s platform.Site, n seam.Network) (ls listeners, err error) {
+	for _, x := range []struct {
+		to   *net.Listener
+		addr string
+	}{{&ls.callers, s.CallerAddr}, {&ls.checks, s.ReadyAddr}, {&ls.peers, s.PeerAddr}} {
+		if *x.to, err = n.Listen(x.addr); err != nil {
+			return ls, errors.Wrap(err, "entry: listen")
+		}
+	}
+	return ls, nil
+}
+
+func (d *Daemon) serve(ls listeners) {
+	d.callers = &http.Server{Handler: &ingress{d}, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, ErrorLog: nil}
+	d.checks = &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait}
+	mux := http.NewServeMux()
+	mux.Handle(conn.PeerPath, d.Hub)
+	mux.Handle("GET /metrics", d.meters)
+	d.peers = &http.Server{Handler: mux, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait}
+	d.run(func() { d.serveOn(d.callers, ls.callers) })
+	d.run(func() { d.serveOn(d.checks, ls.checks) })
+	d.run(func() { d.serveOn(d.peers, ls.peers) })
+}
+
+func (d *Daemon) serveOn(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		d.log.WithField("part", "process").Errorf("serve %s: %v", l.Addr(), err)
+	}
+}
+
+// serveReady answers the balancer.
+func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
+	if !d.ready.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// judgeReady brings readiness up to date.
+func (d *Daemon) judgeReady(now time.Time) {
+	c := d.catalog.get()
+	age, known := d.catalog.fresh.Age(now)
+	keys := c != nil && c.Keyed() && d.Site.Bounds.StrictRevocation
+	stale := keys && age > d.Site.Bounds.Revocation-freshMargin
+	ok := c != nil && known && d.runners.known() && !stale && !d.stopping.Load()
+	if d.ready.Swap(ok) != ok {
+		d.log.WithFields(logrus.Fields{
+			"part": "process", "ready": ok, "catalog": c != nil, "catalog_age_ms": age.Milliseconds(), "stopping": d.stopping.Load(),
+		}).Info("readiness changed")
+	}
+}
+
+// run starts a goroutine that Kill waits for.
+func (d *Daemon) run(f func()) {
+	d.wg.Add(1)
+	go func() {
+		defer d.wg.Done()
+		f()
+	}()
+}
+
+// every runs f with a period until the daemon ends.
+func (d *Daemon) every(period time.Duration, f func(now time.Time)) {
+	d.run(func() {
+		t := time.NewTicker(period)
+		defer t.Stop()
+		for {
+			f(time.Now())
+			select {
+			case <-d.ctx.Done():
+				return
+			case <-t.C:
+			}
+		}
+	})
+}
+
+// background starts what runs by the clock.
+func (d *Daemon) background() {
+	d.run(func() { d.catalog.follow(d.ctx) })
+	d.run(func() { d.runners.follow(d.ctx) })
+	d.run(func() { d.duties.run(d.ctx) })
+	d.run(func() { d.syncMembers(d.ctx) })
+	d.every(tickPeriod, func(now time.Time) {
+		d.Server.Works.Tick(now, len(d.Hub.Mesh.Members()))
+		d.runners.tick(now)
+		d.judgeReady(now)
+	})
+	d.every(peerPause, func(now time.Time) { d.catalog.askPeers(d.ctx, now) })
+	d.every(gossipPeriod, d.gossip)
+	d.every(resendPeriod, func(now time.Time) {
+		for _, name := range d.Hub.Mesh.NeighbourNames() {
+			d.tallies.Lost(name)
+		}
+		d.tallies.Tick(now)
+	})
+}
+
+// gossip sends each neighbour the tallies that are news to it.
+func (d *Daemon) gossip(time.Time) {
+	for _, name := range d.Hub.Mesh.NeighbourNames() {
+		if news := d.tallies.News(name); len(news) > 0 {
+			d.Hub.Give(name, conn.Payload{Tallies: news})
+		}
+	}
+}
+
+// take takes in what a link has brought.
+func (d *Daemon) take(now time.Time, in conn.Delivery) {
+	if len(in.Payload.Tallies) == 0 {
+		return
+	}
+	c := d.catalog.get()
+	for _, a := range d.tallies.Hear(now, in.From, in.Payload.Tallies) {
+		if c == nil {
+			continue
+		}
+		if t := c.TenantNamed(a.Team); t != nil {
+			d.quotas.Others(now, t, float64(a.Units), d.share())
+		}
+	}
+}
+
+// answer answers another daemon's question.
+func (d *Daemon) answer(_ context.Context, _, kind string, body []byte) ([]byte, error) {
+	if kind == askFresh {
+		return d.catalog.answerFresh(body)
+	}
+	return nil, errors.Errorf("entry: no question %q", kind)
+}
+
+// others returns the other daemons that are alive.
+func (d *Daemon) others() []conn.Member {
+	var out []conn.Member
+	for _, m := range d.Hub.Mesh.Members() {
+		if m.Name != d.Self.Name {
+			out = append(out, m)
+		}
+	}
+	return out
+}
+
+// share is the part of a limit over all daemons that this one may use: all of it
+// while it hears the others, else its share.
+func (d *Daemon) share() float64 {
+	alive, known := 0, 0
+	for _, m := range d.Hub.Mesh.Known() {
+		known++
+		if m.State == conn.MemberAlive {
+			alive++
+		}
+	}
+	return float64(max(alive, 1)) / float64(max(known, 1))
+}
+
+// begun counts a request that an endpoint has begun.
+func (d *Daemon) begun(team string, at time.Time) {
+	if team != "" {
+		d.tallies.Begin(team, d.window(at))
+	}
+}
+
+// window returns the number of the usage window of a moment.
+func (d *Daemon) window(at time.Time) int64 {
+	return at.UnixNano() / d.Site.Bounds.UsageWindow.Nanoseconds()
+}
+
+// instance names this start of the daemon.
+func (d *Daemon) instance() string { return fmt.Sprintf("%s#%d", d.Self.Name, d.Self.Start) }
+
+// storeFailed notes that the store did not answer.
+func (d *Daemon) storeFailed(now time.Time) { d.runners.storeFailed(now) }
+
+func (d *Daemon) gauges() {
+	c := &d.Server.Count
+	for name, f := range map[string]func() int64{
+		"requests.accepted": c.Accepted.Load, "requests.complete": c.Complete.Load, "requests.late": c.Late.Load,
+		"requests.refused": c.Refused.Load, "requests.unknown": c.Unknown.Load, "attempts.retries": c.Retries.Load,
+		"links.sent_bytes": func() int64 { return d.Hub.Traffic().SentBytes },
+		"members":          func() int64 { return int64(len(d.Hub.Mesh.Members())) },
+		"catalog.version": func() int64 {
+			if c := d.catalog.get(); c != nil {
+				return c.Version
+			}
+			return 0
+		},
+	} {
+		d.meters.gauge(name, f)
+	}
+}
--- /dev/null
+++ b/entry/freshness.go
@@ -0,0 +1,64 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"sync"
+	"time"
+)
+
+// Freshness is the latest moment at which the catalog in force here is known to
+// have been the newest. No clocks of boxes are compared: a moment is taken from
+// this process's monotonic clock alone. A delayed answer can only make it older.
+type Freshness struct {
+	mu     sync.Mutex
+	at     time.Time
+	base   time.Time     // from which local times are counted
+	offset time.Duration // an upper bound of the store's clock less the local one
+}
+
+// clockSlack is by how much the steady clocks of two boxes may drift apart while
+// an offset is in use.
+const clockSlack = 20 * time.Millisecond
+
+// Store takes in an answer of the store that was asked for at sent, received at
+// now and made when the store's clock showed clock. A feed answers long after it
+// was asked; the smallest offset seen so far tells when at the earliest.
+func (f *Freshness) Store(sent, now time.Time, clock time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.base.IsZero() {
+		f.base, f.offset = sent, clock
+	}
+	f.offset = min(f.offset, clock-sent.Sub(f.base))
+	made := f.base.Add(clock - f.offset - clockSlack)
+	if made.After(now) {
+		// The store's clock has jumped ahead: the offset is of no more use.
+		f.offset = clock - sent.Sub(f.base)
+		made = sent
+	}
+	f.raise(sent)
+	f.raise(made)
+}
+
+// Peer takes in that another daemon, asked at sent, answered that its catalog,
+// which is no newer than ours, was the newest so long before its answer.
+func (f *Freshness) Peer(sent time.Time, age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.raise(sent.Add(-age))
+}
+
+func (f *Freshness) raise(t time.Time) {
+	if t.After(f.at) {
+		f.at = t
+	}
+}
+
+// Age returns how long ago the catalog is known to have been the newest; ok is
+// false if it never was.
+func (f *Freshness) Age(now time.Time) (age time.Duration, ok bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return now.Sub(f.at), !f.at.IsZero()
+}
--- /dev/null
+++ b/entry/members.go
@@ -0,0 +1,77 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"streambend.example/conn"
+	"streambend.example/platform"
+)
+
+const (
+	// memberTable is the store's table of the daemons.
+	memberTable = "streambend-daemons"
+	// memberPeriod is how often the daemons' rows are read while some are
+	// reached, and seedPeriod while none is.
+	memberPeriod = 15 * time.Second
+	seedPeriod   = time.Second
+)
+
+// syncMembers writes this daemon's row and reads the others', so that daemons
+// that know nobody find each other. Links tell the rest.
+func (d *Daemon) syncMembers(ctx context.Context) {
+	written := false
+	for ctx.Err() == nil {
+		if !written {
+			written = d.writeMember(ctx)
+		}
+		d.readMembers(ctx)
+		pause := memberPeriod
+		if d.Hub.Mesh.Neighbours() == 0 {
+			for _, a := range d.Site.Seeds {
+				d.Hub.Greet(time.Now(), a)
+			}
+			pause = seedPeriod
+		}
+		if !written {
+			pause = seedPeriod
+		}
+		sleep(ctx, pause)
+	}
+}
+
+func (d *Daemon) writeMember(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, 2*answerLimit)
+	defer cancel()
+	v, err := json.Marshal(d.Self)
+	if err == nil {
+		_, err = d.store.Apply(ctx, platform.Change{Write: []platform.Row{{Table: memberTable, Key: d.Self.Name, Value: v}}})
+	}
+	if err != nil {
+		d.log.WithField("part", "members").Warnf("own row not written: %v", err)
+	}
+	return err == nil
+}
+
+func (d *Daemon) readMembers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, 2*answerLimit)
+	defer cancel()
+	p, err := d.store.Rows(ctx, memberTable, "", "")
+	if err != nil {
+		d.log.WithField("part", "members").Warnf("rows not read: %v", err)
+		return
+	}
+	var found []conn.Member
+	for _, r := range p.Rows {
+		var m conn.Member
+		if err := json.Unmarshal(r.Value, &m); err != nil {
+			d.log.WithField("part", "members").Warnf("row of %s: %v", r.Key, err)
+			continue
+		}
+		found = append(found, m)
+	}
+	d.Hub.Mesh.Learn(time.Now(), found)
+}
--- /dev/null
+++ b/entry/meters.go
@@ -0,0 +1,51 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"net/http"
+	"time"
+
+	metrics "github.com/rcrowley/go-metrics"
+
+	"streambend.example/code"
+)
+
+// meters are the daemon's counters and histograms.
+type meters struct {
+	registry metrics.Registry
+	cut      metrics.Counter // answers broken off after a part had gone out
+	left     metrics.Counter // callers that left before their answer
+	failed   metrics.Counter // endpoints' own failures passed on
+	whole    metrics.Timer   // whole answers, from arrival to end
+}
+
+// sampleSize bounds the memory of a histogram.
+const sampleSize = 256
+
+func newMeters() *meters {
+	m := &meters{registry: metrics.NewRegistry()}
+	m.cut = metrics.GetOrRegisterCounter("answers.cut", m.registry)
+	m.left = metrics.GetOrRegisterCounter("callers.left", m.registry)
+	m.failed = metrics.GetOrRegisterCounter("answers.endpoint_failure", m.registry)
+	m.whole = metrics.NewCustomTimer(metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, 0.015)), metrics.NewMeter())
+	m.registry.Register("answers.whole", m.whole)
+	return m
+}
+
+func (m *meters) answered(took time.Duration) { m.whole.Update(took) }
+
+func (m *meters) refused(c code.Code) {
+	metrics.GetOrRegisterCounter("errors."+c.Entry().Name, m.registry).Inc(1)
+}
+
+// gauge registers a value that is read when it is asked for.
+func (m *meters) gauge(name string, f func() int64) {
+	m.registry.Register(name, metrics.NewFunctionalGauge(f))
+}
+
+// ServeHTTP writes all metrics as text.
+func (m *meters) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "text/plain; charset=utf-8")
+	metrics.WriteOnce(m.registry, w)
+}
--- /dev/null
+++ b/entry/quota.go
@@ -0,0 +1,88 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"sync"
+	"time"
+
+	"streambend.example/version"
+)
+
+// Quotas hold a token bucket for each team, over all daemons: what others have
+// admitted is taken from it as soon as their word comes.
+type Quotas struct {
+	mu      sync.Mutex
+	buckets map[string]*bucket
+}
+
+type bucket struct {
+	level float64
+	at    time.Time
+	rate  float64
+	burst float64
+}
+
+// NewQuotas returns quotas of which nothing is used.
+func NewQuotas() *Quotas { return &Quotas{buckets: make(map[string]*bucket)} }
+
+// debtSeconds bounds how far a bucket goes below zero, as seconds of its rate:
+// what was admitted at once everywhere is paid back, but not for ever.
+const debtSeconds = 4
+
+// bucket brings a team's bucket up to now; share is the part of the limit that
+// this daemon may use. The caller holds the lock.
+func (q *Quotas) bucket(now time.Time, t *version.Tenant, share float64) *bucket {
+	b := q.buckets[t.Name]
+	if b == nil {
+		b = &bucket{level: t.Burst, at: now, rate: t.Rate, burst: t.Burst}
+		q.buckets[t.Name] = b
+	}
+	if b.rate != t.Rate || b.burst != t.Burst {
+		b.rate, b.burst = t.Rate, t.Burst
+		b.level = min(b.level, t.Burst)
+	}
+	if dt := now.Sub(b.at); dt > 0 {
+		b.level = min(b.level+dt.Seconds()*b.rate*share, b.burst)
+		b.at = now
+	}
+	return b
+}
+
+// Admit takes the units of a request from its team's bucket. If it does not hold
+// them it returns when it will.
+func (q *Quotas) Admit(now time.Time, t *version.Tenant, units, share float64) (wait time.Duration, ok bool) {
+	if t.Rate <= 0 {
+		return 0, true
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	b := q.bucket(now, t, share)
+	// A request larger than the whole bucket passes when it is full.
+	need := min(units, b.burst)
+	if b.level < need {
+		return time.Duration((need - b.level) / max(b.rate*share, 1) * float64(time.Second)), false
+	}
+	b.level -= units
+	return 0, true
+}
+
+// Return gives back what a request that has not run had taken.
+func (q *Quotas) Return(t *version.Tenant, units float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if b := q.buckets[t.Name]; b != nil {
+		b.level = min(b.level+units, b.burst)
+	}
+}
+
+// Others takes from a team's bucket what other daemons have admitted.
+func (q *Quotas) Others(now time.Time, t *version.Tenant, units, share float64) {
+	if t.Rate <= 0 {
+		return
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	b := q.bucket(now, t, share)
+	b.level = min(max(b.level-units, -debtSeconds*b.rate), b.burst)
+}
--- /dev/null
+++ b/entry/runners.go
@@ -0,0 +1,179 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"streambend.example/platform"
+	"streambend.example/request"
+	"streambend.example/version"
+)
+
+const (
+	// runnerWait is how long the store holds the question for changes of the
+	// endpoints. It bounds how late a silent loss of the store is noticed.
+	runnerWait = 1500 * time.Millisecond
+	// lapseHold is how long after the store's return an endpoint whose entry is
+	// missing is still used: entries that lapsed meanwhile are back by then.
+	lapseHold = 2200 * time.Millisecond
+)
+
+// runnerKeeper keeps the pools in line with the endpoints' entries in the store.
+type runnerKeeper struct {
+	d *Daemon
+
+	mu       sync.Mutex
+	byID     map[string]platform.Runner
+	missing  map[string]bool // entries that went while the store was away
+	readAt   time.Time       // of the first whole list; zero before
+	failedAt time.Time       // the last time the store did not answer
+}
+
+// follow keeps up with the store until ctx ends.
+func (k *runnerKeeper) follow(ctx context.Context) {
+	f := feeder{d: k.d, table: platform.RunnerTable, wait: runnerWait, name: "endpoints"}
+	f.run(ctx, func(now, _ time.Time, p platform.Page, whole bool) error {
+		k.take(now, p.Rows, whole)
+		return nil
+	})
+}
+
+// take takes rows in. An entry that is gone right after an outage of the store
+// is held a while.
+func (k *runnerKeeper) take(now time.Time, rows []platform.Row, whole bool) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	there := make(map[string]bool, len(rows))
+	for _, row := range rows {
+		if row.Part != "" {
+			continue
+		}
+		if row.Removed {
+			k.gone(now, row.Key)
+			continue
+		}
+		r, err := platform.ReadRunner(row)
+		if err != nil {
+			k.d.log.WithField("part", "endpoints").Warnf("entry left out: %v", err)
+			continue
+		}
+		there[r.ID] = true
+		k.set(now, r)
+	}
+	if whole {
+		for id := range k.byID {
+			if !there[id] {
+				k.gone(now, id)
+			}
+		}
+		if k.readAt.IsZero() {
+			k.readAt = now
+		}
+	}
+}
+
+func (k *runnerKeeper) set(now time.Time, r platform.Runner) {
+	delete(k.missing, r.ID)
+	old, known := k.byID[r.ID]
+	k.byID[r.ID] = r
+	w := k.d.work(r.Service)
+	t := w.Pool.Add(request.Endpoint{
+		ID: r.ID, Service: w.Pool.Service, Zone: r.Zone, Address: r.Address, Reclaimable: r.Reclaimable, Slots: r.Slots,
+	})
+	fields := logrus.Fields{"part": "endpoints", "endpoint": r.ID, "service": r.Service, "zone": r.Zone, "address": r.Address, "reclaimable": r.Reclaimable}
+	if !known {
+		k.d.log.WithFields(fields).Info("endpoint found")
+	}
+	if r.Leaving && !(known && old.Leaving) && t != nil {
+		left := r.LeavesIn
+		if left <= 0 {
+			left = k.d.Site.Bounds.Drain
+		}
+		t.Leave(now.Add(left))
+		k.d.log.WithFields(fields).WithField("left_ms", left.Milliseconds()).Info("endpoint leaves")
+	}
+}
+
+// gone drops an endpoint, or marks it as missing while that may be the fault of
+// an outage.
+func (k *runnerKeeper) gone(now time.Time, id string) {
+	r, ok := k.byID[id]
+	if !ok {
+		return
+	}
+	if !k.failedAt.IsZero() && now.Sub(k.failedAt) < lapseHold && !r.Leaving {
+		if !k.missing[id] {
+			k.d.log.WithFields(logrus.Fields{"part": "endpoints", "endpoint": id}).Info("entry missing after an outage, held")
+		}
+		k.missing[id] = true
+		return
+	}
+	k.drop(id, r)
+}
+
+func (k *runnerKeeper) drop(id string, r platform.Runner) {
+	delete(k.byID, id)
+	delete(k.missing, id)
+	k.d.work(r.Service).Pool.Forget(id)
+	k.d.log.WithFields(logrus.Fields{"part": "endpoints", "endpoint": id, "service": r.Service}).Info("endpoint gone")
+}
+
+// tick drops what is still missing when its time is over.
+func (k *runnerKeeper) tick(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if now.Sub(k.failedAt) < lapseHold {
+		return
+	}
+	for id := range k.missing {
+		k.drop(id, k.byID[id])
+	}
+}
+
+// storeFailed notes that the store did not answer.
+func (k *runnerKeeper) storeFailed(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.failedAt = now
+}
+
+// known reports whether the endpoints have been read once.
+func (k *runnerKeeper) known() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.readAt.IsZero()
+}
+
+// knownFor reports whether they have been read so long ago.
+func (k *runnerKeeper) knownFor(now time.Time, d time.Duration) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return !k.readAt.IsZero() && now.Sub(k.readAt) >= d
+}
+
+// all returns the endpoints known.
+func (k *runnerKeeper) all() []platform.Runner {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	out := make([]platform.Runner, 0, len(k.byID))
+	for _, r := range k.byID {
+		out = append(out, r)
+	}
+	return out
+}
+
+// work returns what is kept of a service.
+func (d *Daemon) work(service string) *request.Work {
+	s := version.Service{Name: service, PerBox: 1}
+	if c := d.catalog.get(); c != nil {
+		if b, ok := c.Backend[service]; ok {
+			s = b.Service()
+		}
+	}
+	return d.Server.Works.Get(&s)
+}
--- /dev/null
+++ b/entry/usage.go
@@ -0,0 +1,104 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"streambend.example/platform"
+)
+
+const (
+	// usageTable is the store's table of the reports, one row a window.
+	usageTable = "streambend-usage"
+	// usageSettle is how long after a window its report is made: the tallies of
+	// all daemons are here by then, and a report that fails has time to be sent
+	// again before it is late.
+	usageSettle = 2500 * time.Millisecond
+	// usageBack is how many windows before the present a new holder looks at.
+	usageBack = 3
+	// usageKept is how many windows back rows are left in the store.
+	usageKept = 12
+)
+
+// usageDuty reports how many requests of each team began in each window. The
+// counts of a window are committed to the store before they are sent, so that
+// whoever sends them again sends the same.
+type usageDuty struct {
+	d    *Daemon
+	next int64          // the window to report next
+	done map[int64]bool // reported ones
+}
+
+// begin starts a term.
+func (u *usageDuty) begin(now time.Time) {
+	if first := u.d.window(now) - usageBack; first > u.next {
+		u.next = first
+	}
+}
+
+// step reports the windows that are due.
+func (u *usageDuty) step(ctx context.Context, f platform.Fence, x *duties) {
+	for ; u.due(time.Now()); u.next++ {
+		if _, ok := x.mayAct(time.Now()); !ok {
+			return
+		}
+		if err := u.report(ctx, f, u.next); err != nil {
+			u.d.log.WithFields(logrus.Fields{"part": "usage", "window": u.next, "fence": f.Token}).Warnf("not reported yet: %v", err)
+			return
+		}
+	}
+}
+
+// due reports whether the next window has ended long enough ago.
+func (u *usageDuty) due(now time.Time) bool {
+	end := time.Unix(0, (u.next+1)*u.d.Site.Bounds.UsageWindow.Nanoseconds())
+	return !now.Before(end.Add(usageSettle))
+}
+
+func (u *usageDuty) report(ctx context.Context, f platform.Fence, window int64) error {
+	body, err := u.commit(ctx, window)
+	if err != nil {
+		return err
+	}
+	call, cancel := context.WithTimeout(ctx, dutyCall)
+	defer cancel()
+	if err := u.d.cloud.ReportUsage(call, f, body); err != nil {
+		return err
+	}
+	u.d.log.WithFields(logrus.Fields{"part": "usage", "window": window, "fence": f.Token, "report": string(body)}).Info("reported")
+	return nil
+}
+
+// commit returns the report of a window that the store holds, and puts ours
+// there if it holds none.
+func (u *usageDuty) commit(ctx context.Context, window int64) ([]byte, error) {
+	body, err := platform.EncodeUsage(platform.Usage{Window: window, Counts: u.d.tallies.Window(window)})
+	if err != nil {
+		return nil, err
+	}
+	key := strconv.FormatInt(window, 10)
+	call, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	_, err = u.d.store.Apply(call, platform.Change{
+		If:     []platform.Condition{{Table: usageTable, Key: key}},
+		Write:  []platform.Row{{Table: usageTable, Key: key, Value: body}},
+		Remove: []platform.Row{{Table: usageTable, Key: strconv.FormatInt(window-usageKept, 10)}},
+	})
+	if err == nil {
+		return body, nil
+	}
+	if !errors.Is(err, platform.ErrConflict) {
+		return nil, err
+	}
+	row, _, ok, err := u.d.store.Row(call, usageTable, "", key)
+	if err != nil || !ok {
+		return nil, errors.Wrap(err, "entry: report in the store")
+	}
+	return row.Value, nil
+}
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -55,7 +55,8 @@
 			return c, nil
 		}
 		late := !now.Add(r.ticket.Expect).Before(r.r.Deadline) && r.attempts == 0
-		if late || !now.Before(r.giveUpAt()) {
+		waited := r.opts.RouteWait > 0 && !now.Before(r.r.Arrived.Add(r.opts.RouteWait))
+		if late || waited || !now.Before(r.giveUpAt()) {
 			return Choice{}, code.New(code.NoEndpoint, "no endpoint of %s takes work", r.work.Pool.Service).After(time.Second)
 		}
 		r.avoid = nil
@@ -108,9 +109,12 @@
 	r.started = time.Now()
 	var ending Ending
 	var err error
-	if r.r.IsModel() {
+	switch {
+	case r.r.Relay != nil:
+		ending, err = r.attemptRelay(ctx, c)
+	case r.r.IsModel():
 		ending, err = r.attemptModel(ctx, c)
-	} else {
+	default:
 		ending, err = r.attemptPlain(ctx, c)
 	}
 	if ending == EndedWhole {
--- a/request/life.go
+++ b/request/life.go
@@ -120,6 +120,8 @@
 	Tainted      bool // an attempt, this one or an earlier, may have begun
 	Budget       bool // the retry budget allows one more
 	GiveUpAt     time.Time
+	Strict       bool // nothing is sent again beyond the retry budget
+	Spent        bool // the request was sent as often as its route allows
 }
 
 // Classify decides what follows an attempt. It is the one place where a
@@ -130,8 +132,9 @@
 	case EndedWhole:
 		return Verdict{Action: Finish, Code: code.OK}
 	case EndedUnsent, EndedRefused:
-		if a.Budget && !late {
-			return Verdict{Action: Again, Spend: true}
+		free := a.Strict && a.Ending == EndedUnsent // nothing arrived anywhere
+		if (a.Budget || free) && !late && !a.Spent {
+			return Verdict{Action: Again, Spend: !free}
 		}
 		if !a.Tainted {
 			return Verdict{Action: Refuse, Code: refusal(late)}
@@ -143,7 +146,8 @@
 	case EndedBroken:
 		// An accepted request is not given up for want of budget; it only
 		// waits, so that a wave of failures does not multiply the load.
-		if !a.Unrepeatable && !late {
+		held := a.Strict && !a.Budget
+		if !a.Unrepeatable && !late && !a.Spent && !held {
 			return Verdict{Action: Again, Spend: true, Pause: !a.Budget}
 		}
 	case EndedError:
--- a/request/limit.go
+++ b/request/limit.go
@@ -97,43 +97,6 @@
 	l.limit = math.Max(limitLeast, l.limit*limitShrink)
 }
 
-// Budget bounds retries to a share of the successes, so that a wave of
-// failures does not multiply the load.
-type Budget struct {
-	mu     sync.Mutex
-	tokens float64
-}
-
-const (
-	budgetShare = 0.2
-	budgetMost  = 100
-	budgetStart = 20
-)
-
-// NewBudget returns a budget with something to begin with.
-func NewBudget() *Budget { return &Budget{tokens: budgetStart} }
-
-// Earn adds the share of one success.
-func (b *Budget) Earn() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.tokens = math.Min(budgetMost, b.tokens+budgetShare)
-}
-
-// Left reports whether a retry is allowed.
-func (b *Budget) Left() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.tokens >= 1
-}
-
-// Spend takes one retry.
-func (b *Budget) Spend() {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.tokens = math.Max(0, b.tokens-1)
-}
-
 // Speed keeps measured speeds of a service as moving averages.
 type Speed struct {
 	mu      sync.Mutex
--- a/request/pool.go
+++ b/request/pool.go
@@ -78,6 +78,16 @@
 	}
 }
 
+// Forget drops an endpoint that may come back under the same name.
+func (p *Pool) Forget(id string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, ok := p.byID[id]; ok {
+		delete(p.byID, id)
+		p.rebuild()
+	}
+}
+
 func (p *Pool) rebuild() {
 	l := &poolList{}
 	for _, t := range p.byID {
--- a/request/queue_test.go
+++ b/request/queue_test.go
@@ -186,16 +186,16 @@
 func TestBudgetIsAShareOfSuccesses(t *testing.T) {
 	b := request.NewBudget()
 	spent := 0
-	for b.Left() {
-		b.Spend()
+	for b.Left(start) {
+		b.Spend(start)
 		spent++
 	}
 	for range 100 {
 		b.Earn()
 	}
 	again := 0
-	for b.Left() {
-		b.Spend()
+	for b.Left(start) {
+		b.Spend(start)
 		again++
 	}
 	assert.InDelta(t, 20, again, 1, "after %d at the start", spent)
--- /dev/null
+++ b/request/relay.go
@@ -0,0 +1,232 @@
+// SPDX-License-Identifier: MIT
+
+package request
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"streambend.example/conn"
+)
+
+// Codec translates between a Relay and the protocol of its endpoints.
+type Codec interface {
+	// Head returns the headers of an attempt.
+	Head(a Attempt) http.Header
+	// Read tells what the head of an answer says.
+	Read(status int, h http.Header) AnswerHead
+	// Copy copies an answer's headers for the caller.
+	Copy(to, from http.Header)
+}
+
+// Attempt is what an endpoint is told of an attempt.
+type Attempt struct {
+	Endpoint string        // the only one that may run it
+	Left     time.Duration // of the request's deadline
+	Resume   bool          // take the stream up after event After
+	After    int64
+}
+
+// AnswerHead is what the head of an endpoint's answer says.
+type AnswerHead struct {
+	ID      string // of the request that it answers
+	NotRun  bool   // the endpoint did not run it and never will
+	Signed  bool   // it is the endpoint's own answer
+	Load    int    // requests that run or wait there
+	Slots   int    // requests that it runs together
+	HasLoad bool
+}
+
+// Relay is a request whose answer is passed on as it comes, without looking at
+// what it holds.
+type Relay struct {
+	Codec        Codec
+	Out          http.ResponseWriter
+	Host         string // as the caller sent it
+	Streaming    bool   // the answer is a stream of events
+	Attempts     int    // endpoints that it may run at
+	Prefix       uint64 // names the shared head of the prompt; 0 for none
+	PromptTokens int
+	OutTokens    int // expected of the answer
+	Begun        func(now time.Time)
+
+	head   bool  // the answer's head has gone out
+	last   int64 // id of the last event that has gone out
+	began  bool
+	failed *failedAnswer
+}
+
+// failedAnswer is an endpoint's own failure, kept in case no other endpoint
+// does better.
+type failedAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// Started reports whether a part of the answer has gone out.
+func (x *Relay) Started() bool { return x.head }
+
+// PassFailure writes the last failure that an endpoint answered, if there was
+// one and nothing has gone out.
+func (x *Relay) PassFailure() bool {
+	if x.failed == nil || x.head {
+		return false
+	}
+	x.write(x.failed.status, x.failed.header, x.failed.body)
+	return true
+}
+
+// begun takes in that an endpoint has begun to work on the request.
+func (x *Relay) begun(now time.Time) {
+	if !x.began && x.Begun != nil {
+		x.Begun(now)
+	}
+	x.began = true
+}
+
+// wholeLimit bounds an answer that is read whole before it is passed on.
+const wholeLimit = 4 << 20
+
+var (
+	errOtherAnswer = errors.New("request: the answer belongs to another request")
+	errUnsigned    = errors.New("request: the answer is not the endpoint's own")
+	errOrder       = errors.New("request: an event is missing or came twice")
+	errLate        = errors.New("request: the deadline has passed")
+	errCaller      = errors.New("request: the caller takes nothing")
+)
+
+// attemptRelay sends the request to one endpoint and passes its answer on.
+func (r *run) attemptRelay(ctx context.Context, c Choice) (Ending, error) {
+	x := r.r.Relay
+	r.attempts++
+	left := time.Until(r.r.Deadline)
+	if left <= 0 {
+		return EndedUnsent, errLate
+	}
+	ctx, cancel := context.WithDeadlineCause(ctx, r.r.Deadline, errLate)
+	defer cancel()
+	resp, err := r.Client.Forward(ctx, conn.Passed{
+		Address: c.Target.Address, Method: r.r.Method, Target: r.r.Path, Host: x.Host,
+		Header: x.Codec.Head(Attempt{Endpoint: c.Target.ID, Left: left, Resume: x.head, After: x.last}),
+		Body:   r.r.Body, Fresh: r.r.Unrepeatable,
+	})
+	if err != nil {
+		return r.endingOf(err), err
+	}
+	defer resp.Body.Close()
+	head := x.Codec.Read(resp.StatusCode, resp.Header)
+	if head.HasLoad {
+		c.Target.Report(time.Now(), head.Load, head.Slots)
+	}
+	switch {
+	case head.ID != "" && head.ID != r.r.ID, head.ID == "" && resp.StatusCode < http.StatusBadRequest:
+		return EndedBroken, errOtherAnswer
+	case head.NotRun:
+		return EndedRefused, &conn.Failure{Sent: true, Status: resp.StatusCode}
+	case resp.StatusCode < http.StatusMultipleChoices && !head.Signed:
+		return EndedBroken, errUnsigned
+	case x.Streaming && resp.StatusCode == http.StatusOK:
+		return r.passEvents(resp)
+	default:
+		return r.passWhole(resp, head)
+	}
+}
+
+// passWhole reads an answer to its end and passes it on, unless it is a failure
+// that another endpoint may do better than.
+func (r *run) passWhole(resp *http.Response, head AnswerHead) (Ending, error) {
+	x := r.r.Relay
+	body, err := io.ReadAll(io.LimitReader(resp.Body, wholeLimit+1))
+	if err == nil && len(body) > wholeLimit {
+		err = errors.Errorf("request: the answer is over %d bytes", wholeLimit)
+	}
+	if err != nil {
+		return EndedBroken, &conn.Failure{Sent: true, Err: err}
+	}
+	if x.head {
+		return EndedBroken, &conn.Failure{Sent: true, Status: resp.StatusCode} // of a stream that was to go on
+	}
+	x.begun(r.started)
+	if resp.StatusCode >= http.StatusInternalServerError {
+		x.failed = &failedAnswer{resp.StatusCode, resp.Header, body}
+		if !head.Signed {
+			x.failed = nil
+		}
+		if r.r.Unrepeatable {
+			return EndedError, &conn.Failure{Sent: true, Status: resp.StatusCode}
+		}
+		return EndedBroken, &conn.Failure{Sent: true, Status: resp.StatusCode}
+	}
+	x.write(resp.StatusCode, resp.Header, body)
+	return EndedWhole, nil
+}
+
+// write sends a whole answer to the caller.
+func (x *Relay) write(status int, h http.Header, body []byte) {
+	x.writeHead(status, h)
+	x.Out.Write(body) // an error means that the caller has gone, and changes nothing
+}
+
+func (x *Relay) writeHead(status int, h http.Header) {
+	x.head = true
+	out := x.Out.Header()
+	x.Codec.Copy(out, h)
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, ok := out[name]; !ok {
+			out[name] = nil // or net/http adds its own
+		}
+	}
+	x.Out.WriteHeader(status)
+}
+
+// passEvents passes a stream on event by event. The head goes out with the
+// first event, so that until then the request can still go elsewhere.
+func (r *run) passEvents(resp *http.Response) (Ending, error) {
+	x := r.r.Relay
+	events := conn.NewEvents(resp.Body)
+	flush := http.NewResponseController(x.Out)
+	for {
+		ev, err := events.Next()
+		if err == io.EOF {
+			if !x.head {
+				x.writeHead(resp.StatusCode, resp.Header)
+			}
+			return EndedWhole, nil
+		}
+		if err != nil {
+			return EndedBroken, &conn.Failure{Sent: true, Err: err}
+		}
+		x.begun(time.Now())
+		r.life.on(eventStream)
+		if ev.ID >= 0 && x.last > 0 && ev.ID <= x.last {
+			return EndedBroken, errOrder
+		}
+		if !x.head {
+			resp.Header.Del("Content-Length") // a stream's parts may come from several endpoints
+			x.writeHead(resp.StatusCode, resp.Header)
+		}
+		if _, err := x.Out.Write(ev.Raw); err != nil {
+			return EndedBroken, errors.Wrap(errCaller, err.Error())
+		}
+		if err := flush.Flush(); err != nil {
+			return EndedBroken, errors.Wrap(errCaller, err.Error())
+		}
+		if ev.ID >= 0 {
+			x.last = ev.ID
+		}
+	}
+}
+
+// relayFields are the facts of a relayed request for the log.
+func (r *run) relayFields(t *Target) logrus.Fields {
+	return logrus.Fields{
+		"request": r.r.ID, "route": r.r.Route.Name, "team": r.r.Team, "endpoint": t.ID, "zone": t.Zone,
+		"attempt": r.attempts, "left_ms": time.Until(r.r.Deadline).Milliseconds(),
+	}
+}
--- a/request/request.go
+++ b/request/request.go
@@ -47,6 +47,7 @@
 	Header http.Header
 	Body   []byte
 	Model  ModelBody // of a model request
+	Relay  *Relay    // of a request whose answer is passed on unread; nil for others
 }
 
 // ModelBody is what is read of a completion or chat request.
@@ -144,6 +145,9 @@
 
 // Prefix returns the hash of the prompt's head, which orders the endpoints.
 func (r *Request) Prefix() uint64 {
+	if r.Relay != nil {
+		return r.Relay.Prefix
+	}
 	n := r.Service.AffinityBytes
 	if n == 0 {
 		n = defaultAffinity
@@ -153,7 +157,20 @@
 }
 
 // PromptTokens returns about how many tokens the prompt has.
-func (r *Request) PromptTokens() int { return r.Model.Length / bytesPerToken }
+func (r *Request) PromptTokens() int {
+	if r.Relay != nil {
+		return r.Relay.PromptTokens
+	}
+	return r.Model.Length / bytesPerToken
+}
+
+// expectOut returns how many tokens the answer is expected to have.
+func (r *Request) expectOut() int {
+	if r.Relay != nil {
+		return r.Relay.OutTokens
+	}
+	return r.Model.Max
+}
 
 // BodyHash names the request's content, to tell a repeat from another request
 // under the same key.
--- a/request/server.go
+++ b/request/server.go
@@ -122,6 +122,21 @@
 	return a, nil
 }
 
+// Relay runs a request whose answer is passed on as it comes, and returns once
+// it has ended; the error tells why it is not whole.
+func (s *Server) Relay(ctx context.Context, r *Request) *code.Error {
+	s.wg.Add(1)
+	defer s.wg.Done()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(s.alive, cancel)()
+	a := NewAnswer(r.ID, 0, Snapshot{})
+	run := &run{Server: s, r: r, a: a, life: NewLife(), work: s.Works.Get(&r.Service)}
+	run.serve(ctx)
+	_, err := a.Ended()
+	return err
+}
+
 // start runs a request in its own goroutine.
 func (s *Server) start(ctx context.Context, r *Request, a *Answer, end func()) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -181,6 +196,7 @@
 	ticket   Ticket
 	started  time.Time // of the last attempt that was sent
 	attempts int
+	runs     int // attempts that may have run
 	avoid    *Target
 	prefer   *Target
 	restart  bool
@@ -195,6 +211,7 @@
 	defer func() { r.work.Queue.Leave(time.Now(), &r.ticket) }()
 	r.life.on(eventAccept)
 	r.Count.Accepted.Add(1)
+	r.work.Budget.First(time.Now())
 	if done := r.takeClaim(ctx); done {
 		return
 	}
@@ -222,7 +239,7 @@
 	r.ticket = Ticket{
 		Team: r.r.Partner + "/" + r.r.Team, Weight: r.r.Weight, Interactive: r.r.Route.Interactive,
 		Priority: r.r.Route.Priority, Target: r.r.target(), Deadline: r.r.Deadline,
-		Expect: r.work.Speed.Expect(r.r.Model.Max, r.r.PromptTokens()),
+		Expect: r.work.Speed.Expect(r.r.expectOut(), r.r.PromptTokens()),
 	}
 	if r.opts.NoFairQueue {
 		r.ticket.Team, r.ticket.Interactive, r.ticket.Priority = "", false, 0
--- a/request/settle.go
+++ b/request/settle.go
@@ -35,7 +35,8 @@
 	r.note(now, t, e)
 	v := Classify(now, Aftermath{
 		Ending: e, Unrepeatable: r.r.Unrepeatable, Tainted: r.life.Tainted,
-		Budget: r.opts.NoBudget || r.work.Budget.Left(), GiveUpAt: r.giveUpAt(),
+		Budget: r.opts.NoBudget || r.work.Budget.Left(now), GiveUpAt: r.giveUpAt(),
+		Strict: r.opts.Retry != nil, Spent: r.spent(e),
 	})
 	v = r.planted(v, e)
 	if v.Action == Again && r.a.full() {
@@ -73,6 +74,23 @@
 	return v
 }
 
+// moreSends is how many endpoints beyond its attempts a request is offered to
+// that has run at none of them.
+const moreSends = 2
+
+// spent reports whether a request has been sent as often as its route allows.
+func (r *run) spent(e Ending) bool {
+	x := r.r.Relay
+	if x == nil {
+		return false
+	}
+	if e == EndedUnsent || e == EndedRefused {
+		return r.attempts >= x.Attempts+moreSends
+	}
+	r.runs++
+	return r.runs >= x.Attempts
+}
+
 // note lets the pool and the limit learn from an ending.
 func (r *run) note(now time.Time, t *Target, e Ending) {
 	switch e {
@@ -88,6 +106,9 @@
 			r.log.Warnf("eject: %s of %s after %s", t.ID, r.work.Pool.Service, e)
 		}
 	case EndedRefused:
+		if r.r.Relay != nil {
+			return // it is full, which is no fault
+		}
 		t.Fail(now, false)
 		r.work.Queue.Limit.Overload(now)
 	}
@@ -96,6 +117,9 @@
 // pace returns how long the endpoint took for a token, or for a plain call;
 // false for an answer that came from several endpoints or is too short.
 func (r *run) pace(now time.Time) (time.Duration, bool) {
+	if r.r.Relay != nil && r.r.Relay.Streaming {
+		return 0, false
+	}
 	if !r.r.IsModel() {
 		return now.Sub(r.started), true
 	}
@@ -120,7 +144,7 @@
 		return
 	}
 	r.Count.Retries.Add(1)
-	r.work.Budget.Spend()
+	r.work.Budget.Spend(time.Now())
 	backoff := time.Duration(min(r.attempts, 6)) * retryStep
 	if v.Pause {
 		backoff = pauseLeast + time.Duration(min(r.attempts, 6))*pauseLeast
@@ -151,6 +175,10 @@
 		r.Count.Complete.Add(1)
 	}
 	r.life.on(event)
+	if r.r.Relay != nil && r.r.Relay.Streaming {
+		r.a.settle(nil)
+		return
+	}
 	u := r.a.Usage()
 	first := r.a.firstAt().Sub(r.started)
 	if r.attempts == 1 {
--- a/request/target.go
+++ b/request/target.go
@@ -64,6 +64,7 @@
 	Zone        string
 	Address     string // host:port
 	Reclaimable bool
+	Slots       int // requests that it runs together; 0 if not known
 }
 
 // Target is an endpoint as this daemon sees it.
@@ -103,6 +104,9 @@
 
 // newTarget returns the view of an endpoint of which nothing is known yet.
 func newTarget(e Endpoint, batch int) *Target {
+	if e.Slots > 0 {
+		batch = e.Slots
+	}
 	t := &Target{
 		Endpoint: e, hash: xxhash.Sum64String(e.ID), batch: max(batch, 1),
 		left: make(chan struct{}), flights: make(map[*Flight]struct{}),
--- a/request/work.go
+++ b/request/work.go
@@ -14,7 +14,7 @@
 type Work struct {
 	Pool   *Pool
 	Queue  *Queue
-	Budget *Budget
+	Budget Retries
 	Speed  *Speed
 }
 
@@ -35,9 +35,19 @@
 	NoLimit     bool          // no adaptive limit, for comparison
 	NoBudget    bool          // no retry budget, for comparison
 	NoFairQueue bool          // one line for all teams, for comparison
+	Retry       *RetryBound   // of the retries over all daemons; nil for a share of the successes
+	RouteWait   time.Duration // how long a request waits for an endpoint; 0 for until its deadline
 	Plant       plant.Fault   // set by tests alone
 }
 
+// retries returns the retry budget of a service.
+func (o *Options) retries() Retries {
+	if o.Retry == nil {
+		return NewBudget()
+	}
+	return NewWindowBudget(*o.Retry)
+}
+
 // Defaults returns the options of an ordinary daemon.
 func Defaults() Options {
 	return Options{
@@ -73,7 +83,7 @@
 	k = &Work{
 		Pool:   NewPool(key, w.opts.Zone, s.PerBox),
 		Queue:  NewQueue(NewLimiter(w.opts.StartLimit, s.FirstToken.Duration), w.opts.MaxQueued),
-		Budget: NewBudget(),
+		Budget: w.opts.retries(),
 		Speed:  &Speed{},
 	}
 	w.byID[key] = k
