--- a/code/code.go
+++ b/code/code.go
@@ -33,6 +33,7 @@
 	StillRunning    Code = 1107
 	Isolated        Code = 1108
 	TeamShare       Code = 1109
+	Overloaded      Code = 1110
 	UnknownOutcome  Code = 1201
 	NotWhole        Code = 1202
 	CallerLate      Code = 1203
@@ -103,6 +104,7 @@
 	{StillRunning, "still-running", http.StatusConflict, NotRun, "This call was not run: the earlier request with this key still runs."},
 	{Isolated, "isolated", http.StatusServiceUnavailable, NotRun, "The daemon has neither table nor peers and its configuration may be old."},
 	{TeamShare, "team-share", http.StatusTooManyRequests, NotRun, "The team is over its share while others wait."},
+	{Overloaded, "overloaded", http.StatusServiceUnavailable, NotRun, "Too much is waiting at the endpoints for an answer in time; come back after Retry-After."},
 	{UnknownOutcome, "unknown-outcome", http.StatusBadGateway, RanUnknown, "The request may have run; an unrepeatable one is never run again."},
 	{NotWhole, "not-whole", http.StatusBadGateway, RanUnknown, "No endpoint gave a whole answer in time."},
 	{CallerLate, "late", http.StatusGatewayTimeout, RanUnknown, "The deadline passed while the request ran."},
--- a/conn/member.go
+++ b/conn/member.go
@@ -78,6 +78,7 @@
 	Loads   []LoadClass     `codec:"l,omitempty"`
 	Demands []Demand        `codec:"d,omitempty"`
 	Tallies []Tally         `codec:"t,omitempty"`
+	Sends   []byte          `codec:"x,omitempty"` // prompts sent to engines, in the form of their package
 }
 
 // Tally is what one daemon has counted since its start. Its fields only grow,
--- a/conn/mesh.go
+++ b/conn/mesh.go
@@ -18,6 +18,9 @@
 // the next heartbeats settle the rest.
 const spreadMost = 8
 
+// fullMesh is up to how many daemons each has a link with every other.
+const fullMesh = 12
+
 // Mesh decides what a daemon tells its neighbours. It does no input or output.
 type Mesh struct {
 	timing Timing
@@ -146,7 +149,7 @@
 	m.digest = d
 }
 
-// Wanted returns the members to have links with: those at ±1, ±2, ±4 … places
+// Wanted returns the members to have links with: all of a few, else those at ±1, ±2, ±4 … places
 // on the ring. Every daemon that knows the same members wants the same links.
 func (m *Mesh) Wanted() []Member {
 	m.mu.Lock()
@@ -158,6 +161,9 @@
 	if at < 0 || n < 2 {
 		return nil
 	}
+	if n <= fullMesh {
+		return slices.Delete(ring, at, at+1)
+	}
 	picked := make(map[int]bool)
 	var out []Member
 	for d := 1; d <= n/2; d *= 2 {
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -56,6 +56,7 @@
 	runners runnerKeeper
 	tallies *Tallies
 	quotas  *Quotas
+	sends   sendQueue
 	duties  *duties
 	meters  *meters
 	outside *http.Client // towards store and cloud
@@ -90,6 +91,7 @@
 	d.catalog.d = d
 	d.runners = runnerKeeper{d: d, byID: make(map[string]platform.Runner), missing: make(map[string]bool)}
 	d.tallies = NewTallies(d.Self)
+	d.sends.wake = make(chan struct{}, 1)
 	d.Server = request.NewServer(d.options(), conn.NewClient(n, defaultBody), nil, nil, log)
 	mesh := conn.NewMesh(d.Self, conn.DefaultTiming())
 	// The links are inside the platform's own network; the word that signs them
@@ -110,6 +112,7 @@
 	o.Grace = 0 // the caller is gone at its deadline
 	o.NoLimit = true
 	o.RouteWait = comeBack
+	o.Sent = d.sends.add
 	b := d.Site.Bounds
 	o.Retry = &request.RetryBound{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack, Daemons: func() int { return len(d.Hub.Mesh.Members()) }}
 	return o
@@ -206,6 +209,7 @@
 	})
 	d.every(peerPause, func(now time.Time) { d.catalog.askPeers(d.ctx, now) })
 	d.every(gossipPeriod, d.gossip)
+	d.run(func() { d.tellSends(d.ctx) })
 	d.every(resendPeriod, func(now time.Time) {
 		for _, name := range d.Hub.Mesh.NeighbourNames() {
 			d.tallies.Lost(name)
@@ -225,6 +229,9 @@
 
 // take takes in what a link has brought.
 func (d *Daemon) take(now time.Time, in conn.Delivery) {
+	if len(in.Payload.Sends) > 0 {
+		d.hearSends(now, in)
+	}
 	if len(in.Payload.Tallies) == 0 {
 		return
 	}
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -208,11 +208,21 @@
 		Codec: &codec{in: platform.Forwarded(r.Header), team: team, urgency: urgency},
 		Host:  r.Host, Streaming: o.route.Streaming, Attempts: o.route.Attempts,
 		Prefix: prefix(o.call.Parts), PromptTokens: o.call.In, OutTokens: expectOut(o.call),
+		Pause: o.route.Pause, WaitLimit: c.WaitLimit(o.route, name), Parts: parts(o.call.Parts),
 		Begun: func(at time.Time) { s.d.begun(team, at) },
 	}
 	return req
 }
 
+// parts returns a prompt's parts in the form that routing takes.
+func parts(in []platform.Part) []request.Part {
+	out := make([]request.Part, len(in))
+	for i, p := range in {
+		out[i] = request.Part(p)
+	}
+	return out
+}
+
 // prefix names the longest head of a prompt that other requests share.
 func prefix(parts []platform.Part) uint64 {
 	if len(parts) == 0 {
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -84,6 +84,7 @@
 	w := k.d.work(r.Service)
 	t := w.Pool.Add(request.Endpoint{
 		ID: r.ID, Service: w.Pool.Service, Zone: r.Zone, Address: r.Address, Reclaimable: r.Reclaimable, Slots: r.Slots,
+		Memory: k.d.memory(r.Service),
 	})
 	fields := logrus.Fields{"part": "endpoints", "endpoint": r.ID, "service": r.Service, "zone": r.Zone, "address": r.Address, "reclaimable": r.Reclaimable}
 	if !known {
@@ -167,6 +168,14 @@
 	return out
 }
 
+// memory returns how many tokens an engine of a service keeps, or 0.
+func (d *Daemon) memory(service string) int {
+	if c := d.catalog.get(); c != nil {
+		return c.Backend[service].CacheTokens
+	}
+	return 0
+}
+
 // work returns what is kept of a service.
 func (d *Daemon) work(service string) *request.Work {
 	s := version.Service{Name: service, PerBox: 1}
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -33,6 +33,9 @@
 	return p
 }
 
+// relayService is how long a stream is taken to hold its place at an engine.
+const relayService = 1500 * time.Millisecond
+
 // need is what this request asks of routing.
 func (r *run) need() Need {
 	n := Need{Plain: !r.r.IsModel(), Avoid: r.avoid, Weigh: r.r.Service.Weigh, Policy: r.opts.Route, Settled: r.r.Unrepeatable}
@@ -40,8 +43,13 @@
 		return n
 	}
 	n.Prefix, n.Prompt = r.r.Prefix(), r.r.PromptTokens()
+	if x := r.r.Relay; x != nil {
+		n.Parts, n.Pause, n.Service = x.Parts, x.Pause, relayService
+	}
 	n.PrefillRate = r.work.Speed.Prefill()
-	n.Service = r.ticket.Expect
+	if n.Service == 0 {
+		n.Service = r.ticket.Expect
+	}
 	return n
 }
 
@@ -50,6 +58,9 @@
 	for {
 		now := time.Now()
 		c, ok := r.choose(now)
+		if err := r.overloaded(c); ok && err != nil {
+			return Choice{}, err
+		}
 		if ok {
 			r.logChoice(c)
 			return c, nil
@@ -68,6 +79,22 @@
 	}
 }
 
+// leastAfter is the least time after which a caller that was refused for
+// overload may come back.
+const leastAfter = 400 * time.Millisecond
+
+// overloaded refuses a request that has run nowhere if even the engine that
+// reads it soonest has more to read before it than the request can wait for.
+// Refused at once it can still be answered in time when it comes back.
+func (r *run) overloaded(c Choice) *code.Error {
+	x := r.r.Relay
+	if x == nil || x.WaitLimit == 0 || r.attempts > 0 || c.Wait <= x.WaitLimit {
+		return nil
+	}
+	return code.New(code.Overloaded, "%s to read before it, %s at the most", c.Wait.Round(time.Millisecond), x.WaitLimit).
+		After(max(leastAfter, c.Wait))
+}
+
 func (r *run) choose(now time.Time) (Choice, bool) {
 	n := r.need()
 	if p := r.prefer; p != nil {
--- /dev/null
+++ b/request/backlog.go
@@ -0,0 +1,257 @@
+// SPDX-License-Identifier: MIT
+
+package request
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+// Part is a piece of a prompt; the pieces before the last are shared between
+// requests and stay in an engine's cache.
+type Part struct {
+	ID     uint64 `codec:"i"`
+	Tokens int    `codec:"t"`
+}
+
+const (
+	// cacheParts bounds how many parts are remembered of an engine, at about
+	// 100 bytes each.
+	cacheParts = 512
+	// cacheShare is the part of an engine's memory that is taken to hold shared
+	// parts; requests that run need the rest.
+	cacheShare = 0.7
+	// paceWeight is the weight of one sample of an engine's own pace, and
+	// paceLeast and paceMost bound that pace against odd samples.
+	paceWeight = 0.1
+	paceLeast  = 0.5
+	paceMost   = 8
+)
+
+// Backlog is what is known of the prompts that an engine has still to read and
+// of the parts that it keeps. It is modelled from what the daemons have sent
+// there, since an engine's own report is old on arrival.
+type Backlog struct {
+	cost *ReadCost // of the service's engines
+
+	mu     sync.Mutex
+	left   time.Duration // of reading at the moment at
+	at     time.Time
+	added  time.Duration // of reading ever added
+	pace   float64       // time that the engine takes, as a multiple of the service's
+	parts  *simplelru.LRU[uint64, int]
+	kept   int // tokens of the parts remembered
+	memory int // tokens that may be kept; 0 for no bound
+}
+
+func newBacklog(cost *ReadCost, memory int) *Backlog {
+	b := &Backlog{cost: cost, pace: 1, memory: int(cacheShare * float64(memory))}
+	b.parts, _ = simplelru.NewLRU(cacheParts, func(_ uint64, tokens int) { b.kept -= tokens }) // the size is above 0
+	return b
+}
+
+// drain brings the backlog up to now; the caller holds the lock.
+func (b *Backlog) drain(now time.Time) {
+	if dt := now.Sub(b.at); dt > 0 {
+		b.left = max(0, b.left-dt)
+		b.at = now
+	}
+}
+
+// Reading is an engine's state towards one prompt.
+type Reading struct {
+	Wait   time.Duration // until it begins to read the prompt
+	Own    time.Duration // to read what it has not kept of it
+	Fresh  int           // tokens that it has not kept
+	Shared int           // those of them that other requests share
+	Held   time.Duration // the longest pause of the streams that run beside
+}
+
+// Read returns how long a prompt takes to be read at the engine.
+func (b *Backlog) Read(now time.Time, parts []Part) Reading {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.drain(now)
+	r := Reading{Wait: b.left}
+	kept, total := true, 0
+	for i, p := range parts {
+		total += p.Tokens
+		kept = kept && b.parts.Contains(p.ID)
+		if kept {
+			continue
+		}
+		r.Fresh += p.Tokens
+		if i < len(parts)-1 {
+			r.Shared += p.Tokens
+		}
+	}
+	r.Own = time.Duration(b.pace * float64(b.cost.Time(r.Fresh, total)))
+	r.Held = time.Duration(b.pace * float64(b.cost.Held(r.Fresh, total)))
+	return r
+}
+
+// Mark names a prompt's place in the backlog.
+type Mark struct {
+	added time.Duration // up to and with the prompt
+	alone bool          // nothing was ahead of it
+	own   time.Duration
+	fresh int
+	total int
+	at    time.Time
+}
+
+// Add takes in that a prompt of so many tokens in all was sent to the engine.
+func (b *Backlog) Add(now time.Time, fresh, total int, shared []Part) Mark {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.drain(now)
+	own := time.Duration(b.pace * float64(b.cost.Time(fresh, total)))
+	m := Mark{alone: b.left == 0, own: own, fresh: fresh, total: total, at: now}
+	b.left += own
+	b.added += own
+	m.added = b.added
+	for _, p := range shared {
+		b.keep(p)
+	}
+	return m
+}
+
+// keep remembers a shared part; the caller holds the lock.
+func (b *Backlog) keep(p Part) {
+	if b.parts.Contains(p.ID) {
+		b.parts.Get(p.ID) // it was used
+		return
+	}
+	b.parts.Add(p.ID, p.Tokens)
+	b.kept += p.Tokens
+	for b.memory > 0 && b.kept > b.memory && b.parts.Len() > 1 {
+		b.parts.RemoveOldest()
+	}
+}
+
+// Begun takes in that the engine has read a prompt to its end: all that was
+// sent before is read as well.
+func (b *Backlog) Begun(now time.Time, m Mark) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.drain(now)
+	b.left = min(b.left, max(0, b.added-m.added))
+	took := now.Sub(m.at)
+	if !m.alone || m.fresh < sampleLeast || took <= 0 || m.own <= 0 {
+		return
+	}
+	b.cost.Learn(m.fresh, m.total, time.Duration(float64(took)/b.pace))
+	sample := math.Min(math.Max(b.pace*float64(took)/float64(m.own), paceLeast), paceMost)
+	b.pace += paceWeight * (sample - b.pace)
+}
+
+// Dropped takes in that a prompt will not be read after all.
+func (b *Backlog) Dropped(now time.Time, m Mark) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.drain(now)
+	b.left = max(0, b.left-m.own)
+}
+
+// Sent is a prompt that a daemon has sent to an engine, as it tells the others.
+type Sent struct {
+	Service  string `codec:"s"`
+	Endpoint string `codec:"e"`
+	Fresh    int    `codec:"f"` // tokens that the engine has to read
+	Total    int    `codec:"t"` // tokens of the whole prompt
+	Parts    []Part `codec:"p"` // the shared ones
+}
+
+// HearSent takes in a prompt that another daemon has sent.
+func (w *Works) HearSent(now time.Time, s Sent) {
+	w.mu.RLock()
+	k := w.byID[s.Service]
+	w.mu.RUnlock()
+	if k == nil {
+		return
+	}
+	if t := k.Pool.Get(s.Endpoint); t != nil {
+		t.backlog.Add(now, s.Fresh, s.Total, s.Parts)
+	}
+}
+
+const (
+	// rereadWeight is by how much reading a shared part again counts beyond its
+	// time: it is paid for, and takes the place of another part.
+	rereadWeight = 1.0
+	// heldShare is the share of the longest pause in time that reading a prompt
+	// may cause to the streams beside it.
+	heldShare = 0.8
+	// heldCost is what making one stream late counts, as time.
+	heldCost = 0.15
+	// laneShare is the part of the engines to which prompts go that would hold
+	// the others up, and laneCost what keeps other prompts away from them.
+	laneShare = 0.2
+	laneCost  = 0.1
+	// laneLeast is from how many engines on some are set apart.
+	laneLeast = 4
+	// laneMemory is how long after the last such prompt they stay set apart.
+	laneMemory = 20 * time.Second
+)
+
+// choosePrompt takes the endpoint at which the prompt is read soonest, with a
+// preference for one that keeps its shared parts. A prompt whose reading would
+// hold up the streams that run beside it goes where few of them run.
+func (p *Pool) choosePrompt(now time.Time, l *poolList, n Need) (Choice, bool) {
+	var c Choice
+	best := math.Inf(1)
+	lane := 0
+	if now.Sub(p.heldAt()) < laneMemory && len(l.all) >= laneLeast {
+		lane = max(1, int(laneShare*float64(len(l.all))))
+	}
+	for i, t := range l.all {
+		if !t.open(n) {
+			continue
+		}
+		r := t.backlog.Read(now, n.Parts)
+		first := r.Wait + r.Own + t.slotWait(n)
+		score := first.Seconds() + rereadWeight*r.Own.Seconds()*float64(r.Shared)/float64(max(r.Fresh, 1))
+		holds := n.Pause > 0 && float64(r.Held) > heldShare*float64(n.Pause)
+		switch {
+		case holds:
+			score += heldCost * float64(t.load.Load())
+		case l.order[i] < lane:
+			score += laneCost
+		}
+		score /= math.Max(float64(math.Float32frombits(t.ramp.Load())), rampStart)
+		if t.Zone != p.Zone {
+			score += zoneSeconds
+		}
+		if score < best {
+			best = score
+			c = Choice{Target: t, Load: int(t.load.Load()), Reading: r, First: first, Why: "read soonest"}
+			if holds {
+				c.Why = "holds others up, few run beside"
+			}
+		}
+	}
+	if c.Target != nil && c.Why != "read soonest" {
+		p.holdsUp(now)
+	}
+	return c, c.Target != nil
+}
+
+// heldAt returns when a prompt was last seen that holds others up.
+func (p *Pool) heldAt() time.Time { return time.Unix(0, p.held.Load()) }
+
+func (p *Pool) holdsUp(now time.Time) { p.held.Store(now.UnixNano()) }
+
+// slotWait estimates how long a request waits for a place at the endpoint.
+func (t *Target) slotWait(n Need) time.Duration {
+	t.mu.Lock()
+	batch := t.batch
+	t.mu.Unlock()
+	over := int(t.load.Load()) - batch + 1
+	if over <= 0 {
+		return 0
+	}
+	return time.Duration(float64(over) / float64(batch) * float64(n.Service))
+}
--- a/request/pool.go
+++ b/request/pool.go
@@ -30,6 +30,8 @@
 	ticked time.Time
 
 	hits hitMemory
+	cost ReadCost
+	held atomic.Int64 // when a prompt was last sent that holds others up, as Unix nanoseconds
 }
 
 // sentHalfLife is how fast the count of requests sent lately fades.
@@ -39,6 +41,10 @@
 type poolList struct {
 	all  []*Target
 	zone []*Target // those of this daemon's zone
+
+	// order is each one's place in an order that all daemons share and that
+	// changes little as endpoints come and go.
+	order []int
 }
 
 // NewPool returns an empty pool; batch is how many requests an endpoint is
@@ -61,7 +67,7 @@
 	if p.gone[e.ID] {
 		return nil
 	}
-	t := newTarget(e, p.batch)
+	t := newTarget(e, p.batch, &p.cost)
 	p.byID[e.ID] = t
 	p.rebuild()
 	return t
@@ -99,6 +105,14 @@
 			l.zone = append(l.zone, t)
 		}
 	}
+	l.order = make([]int, len(l.all))
+	for i, t := range l.all {
+		for _, o := range l.all {
+			if o.hash > t.hash {
+				l.order[i]++
+			}
+		}
+	}
 	p.list.Store(l)
 }
 
--- a/request/relay.go
+++ b/request/relay.go
@@ -52,8 +52,11 @@
 	Attempts     int    // endpoints that it may run at
 	Prefix       uint64 // names the shared head of the prompt; 0 for none
 	PromptTokens int
-	OutTokens    int // expected of the answer
-	Begun        func(now time.Time)
+	OutTokens    int                 // expected of the answer
+	Pause        time.Duration       // the longest in a stream that is in time; 0 if not known
+	Parts        []Part              // of the prompt, in order
+	WaitLimit    time.Duration       // how long it may wait until an engine begins to read it; 0 for no limit
+	Begun        func(now time.Time) // an endpoint has begun to work on it; may be nil
 
 	head   bool  // the answer's head has gone out
 	last   int64 // id of the last event that has gone out
@@ -111,12 +114,14 @@
 	}
 	ctx, cancel := context.WithDeadlineCause(ctx, r.r.Deadline, errLate)
 	defer cancel()
+	mark := r.sendPrompt(c)
 	resp, err := r.Client.Forward(ctx, conn.Passed{
 		Address: c.Target.Address, Method: r.r.Method, Target: r.r.Path, Host: x.Host,
 		Header: x.Codec.Head(Attempt{Endpoint: c.Target.ID, Left: left, Resume: x.head, After: x.last}),
 		Body:   r.r.Body, Fresh: r.r.Unrepeatable,
 	})
 	if err != nil {
+		c.Target.backlog.Dropped(time.Now(), mark)
 		return r.endingOf(err), err
 	}
 	defer resp.Body.Close()
@@ -128,16 +133,33 @@
 	case head.ID != "" && head.ID != r.r.ID, head.ID == "" && resp.StatusCode < http.StatusBadRequest:
 		return EndedBroken, errOtherAnswer
 	case head.NotRun:
+		c.Target.backlog.Dropped(time.Now(), mark)
 		return EndedRefused, &conn.Failure{Sent: true, Status: resp.StatusCode}
 	case resp.StatusCode < http.StatusMultipleChoices && !head.Signed:
 		return EndedBroken, errUnsigned
 	case x.Streaming && resp.StatusCode == http.StatusOK:
-		return r.passEvents(resp)
+		return r.passEvents(c, mark, resp)
 	default:
 		return r.passWhole(resp, head)
 	}
 }
 
+// sendPrompt counts a prompt to its engine's backlog, here and at the others.
+func (r *run) sendPrompt(c Choice) Mark {
+	x := r.r.Relay
+	if len(x.Parts) == 0 {
+		return Mark{}
+	}
+	shared, total := x.Parts[:len(x.Parts)-1], 0
+	for _, p := range x.Parts {
+		total += p.Tokens
+	}
+	if r.opts.Sent != nil {
+		r.opts.Sent(Sent{Service: c.Target.Service, Endpoint: c.Target.ID, Fresh: c.Fresh, Total: total, Parts: shared})
+	}
+	return c.Target.backlog.Add(time.Now(), c.Fresh, total, shared)
+}
+
 // passWhole reads an answer to its end and passes it on, unless it is a failure
 // that another endpoint may do better than.
 func (r *run) passWhole(resp *http.Response, head AnswerHead) (Ending, error) {
@@ -187,8 +209,9 @@
 
 // passEvents passes a stream on event by event. The head goes out with the
 // first event, so that until then the request can still go elsewhere.
-func (r *run) passEvents(resp *http.Response) (Ending, error) {
+func (r *run) passEvents(c Choice, mark Mark, resp *http.Response) (Ending, error) {
 	x := r.r.Relay
+	first := true
 	events := conn.NewEvents(resp.Body)
 	flush := http.NewResponseController(x.Out)
 	for {
@@ -202,8 +225,13 @@
 		if err != nil {
 			return EndedBroken, &conn.Failure{Sent: true, Err: err}
 		}
-		x.begun(time.Now())
-		r.life.on(eventStream)
+		if first {
+			first = false
+			now := time.Now()
+			x.begun(now)
+			r.life.on(eventStream)
+			c.Target.backlog.Begun(now, mark)
+		}
 		if ev.ID >= 0 && x.last > 0 && ev.ID <= x.last {
 			return EndedBroken, errOrder
 		}
--- a/request/route.go
+++ b/request/route.go
@@ -31,6 +31,8 @@
 	Policy      RoutePolicy
 	PrefillRate float64       // prompt tokens a second, measured
 	Service     time.Duration // time a request spends at an endpoint, measured
+	Parts       []Part        // of the prompt, where they are known
+	Pause       time.Duration // the longest pause of a stream that is in time; 0 if not known
 }
 
 // Choice is the endpoint chosen and why.
@@ -40,6 +42,8 @@
 	Load   int
 	Bound  int // load bound in force
 	Why    string
+	Reading
+	First  time.Duration // until the first event, as expected; 0 if not known
 	Others [candidateCount]Candidate
 }
 
@@ -80,6 +84,8 @@
 		return chooseRandom(l.all, n)
 	case n.Policy == RouteLeast:
 		return chooseLeast(l.all, n, "least loaded")
+	case len(n.Parts) > 0:
+		return p.choosePrompt(now, l, n)
 	case n.Plain || n.Prefix == 0:
 		return p.chooseTwo(l, n)
 	default:
--- a/request/target.go
+++ b/request/target.go
@@ -65,17 +65,19 @@
 	Address     string // host:port
 	Reclaimable bool
 	Slots       int // requests that it runs together; 0 if not known
+	Memory      int // tokens that an engine keeps; 0 if not known
 }
 
 // Target is an endpoint as this daemon sees it.
 type Target struct {
 	Endpoint
-	hash uint64
-	mine atomic.Int32  // requests of this daemon in flight
-	load atomic.Int32  // estimate of all requests in flight there
-	out  atomic.Bool   // leaving or ejected
-	ramp atomic.Uint32 // share of its load bound it may take, as float bits
-	sent atomic.Uint32 // requests that this daemon has sent lately, fading, as float bits
+	hash    uint64
+	mine    atomic.Int32  // requests of this daemon in flight
+	load    atomic.Int32  // estimate of all requests in flight there
+	out     atomic.Bool   // leaving or ejected
+	ramp    atomic.Uint32 // share of its load bound it may take, as float bits
+	backlog *Backlog
+	sent    atomic.Uint32 // requests that this daemon has sent lately, fading, as float bits
 
 	mu       sync.Mutex
 	class    Class
@@ -103,13 +105,13 @@
 )
 
 // newTarget returns the view of an endpoint of which nothing is known yet.
-func newTarget(e Endpoint, batch int) *Target {
+func newTarget(e Endpoint, batch int, cost *ReadCost) *Target {
 	if e.Slots > 0 {
 		batch = e.Slots
 	}
 	t := &Target{
 		Endpoint: e, hash: xxhash.Sum64String(e.ID), batch: max(batch, 1),
-		left: make(chan struct{}), flights: make(map[*Flight]struct{}),
+		backlog: newBacklog(cost, e.Memory), left: make(chan struct{}), flights: make(map[*Flight]struct{}),
 	}
 	t.ramp.Store(math.Float32bits(1))
 	return t
--- a/request/work.go
+++ b/request/work.go
@@ -37,6 +37,7 @@
 	NoFairQueue bool          // one line for all teams, for comparison
 	Retry       *RetryBound   // of the retries over all daemons; nil for a share of the successes
 	RouteWait   time.Duration // how long a request waits for an endpoint; 0 for until its deadline
+	Sent        func(s Sent)  // is told of each prompt sent to an engine; nil for none
 	Plant       plant.Fault   // set by tests alone
 }
 
--- a/version/catalog.go
+++ b/version/catalog.go
@@ -152,6 +152,38 @@
 	return nil
 }
 
+// waitShares are the parts of the shortest target that requests of a service may
+// spend waiting, from the most urgent of its priorities on: under overload the
+// less urgent are to give way first.
+var waitShares = [...]float64{0.8, 0.6, 0.45}
+
+// WaitLimit returns how long a stream of the route may wait until its engine
+// turns to it, or 0 for no limit. It follows the shortest target among the
+// routes of the service that are as urgent or more, so that these are not
+// refused while it is served.
+func (c *Catalog) WaitLimit(r *PathRoute, service string) time.Duration {
+	if !r.Streaming || r.Target <= 0 {
+		return 0
+	}
+	target := r.Target
+	ahead := make(map[int]bool)
+	for i := range c.Routes {
+		o := &c.Routes[i]
+		if !o.Streaming || o.Target <= 0 || !o.sharedWith(service) || o.Priority > r.Priority {
+			continue
+		}
+		target = min(target, o.Target)
+		if o.Priority < r.Priority {
+			ahead[o.Priority] = true
+		}
+	}
+	return time.Duration(waitShares[min(len(ahead), len(waitShares)-1)] * float64(target))
+}
+
+func (r *PathRoute) sharedWith(service string) bool {
+	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service })
+}
+
 // Pick returns the service that takes a request of the route. The request's id
 // decides, so that its repeats within a daemon go the same way.
 func (r *PathRoute) Pick(id string) string {
