entry: order endpoints by the reading that is asked of them

Ruled out: routing (first events were in time while 8 engines ran). The pool counts the reading that all daemons send; the plan keeps reclaimable endpoints for 4 times that, and others only up to 1.8 times it.

--- a/entry/scale.go
+++ b/entry/scale.go
@@ -23,17 +23,26 @@
 	// orderAgain is how long an order that was taken is waited for.
 	orderAgain = 6 * time.Second
 	// drySpell is how long after a refusal a kind in a zone is asked for again.
-	drySpell = 2 * time.Second
+	drySpell = 1500 * time.Millisecond
 	// countAfter is how long after the first list of endpoints they are counted:
 	// each writes itself to the store once a heartbeat, and all were just started
 	// where the daemons were.
 	countAfter = 3 * time.Second
-	// safeShare is the share of the endpoints a service was found with that is
-	// kept by endpoints that cannot be reclaimed, when there are too few others.
-	safeShare = 0.5
-	// swapShare is the share that must be there as reclaimable ones before
-	// endpoints that cannot be reclaimed are given up.
-	swapShare = 0.7
+	// spotUse and firmUse are the shares of their time that engines are to spend
+	// reading prompts. Reclaimable ones are cheap, so there are enough of them
+	// that a zone's loss is borne; those that cannot be reclaimed only keep the
+	// rest from being too few.
+	spotUse = 0.25
+	firmUse = 0.55
+	// placeUse is the share of their places that are to be taken.
+	placeUse = 0.7
+	// demandRise and demandFall are how fast the demand that is planned for
+	// follows the demand that is seen.
+	demandRise = 2 * time.Second
+	demandFall = 8 * time.Second
+	// firmHold is how long too many of the dear endpoints are kept, in case they
+	// are needed again.
+	firmHold = 3 * time.Second
 )
 
 // ScaleKind is one kind of endpoint of a service in a zone.
@@ -45,10 +54,11 @@
 // ScaleState is what is known of a service's endpoints.
 type ScaleState struct {
 	Scaling version.Scaling
-	Base    map[string]int          // endpoints by zone that the service was found with
-	Live    map[ScaleKind]int       // that take requests
-	Ordered map[ScaleKind]int       // last order; missing for none
-	Refused map[ScaleKind]time.Time // until when a kind is not to be had
+	Base    map[string]int    // endpoints by zone that the service was found with
+	Live    map[ScaleKind]int // that take requests
+	Coming  map[ScaleKind]int // that are ordered and still start
+	Need    float64           // endpoints that would work all the time; negative while not known
+	Idle    bool              // nothing is asked of the service yet
 }
 
 // ScaleOrder is a number of endpoints of a kind.
@@ -58,25 +68,42 @@
 }
 
 // PlanScale decides how many endpoints of each kind a service should have:
-// reclaimable ones in every zone, and others only as far as too few of those are
-// to be had.
-func PlanScale(now time.Time, s ScaleState) []ScaleOrder {
-	var out []ScaleOrder
+// reclaimable ones spread over the zones, and others only as far as too few of
+// those are to be had.
+func PlanScale(s ScaleState) []ScaleOrder {
 	zones := slices.Sorted(maps.Keys(s.Scaling.ZonePrices))
-	total, spot := 0, 0
+	base, spot := 0, 0
 	for _, z := range zones {
-		total += s.Base[z]
-		spot += s.Live[ScaleKind{z, true}]
-		want := min(max(s.Base[z], s.Scaling.Least), s.Scaling.Most)
-		out = append(out, ScaleOrder{ScaleKind{z, true}, want})
+		base += s.Base[z]
+		spot += s.Live[ScaleKind{z, true}] + s.Coming[ScaleKind{z, true}]
+	}
+	wantSpot, wantAll := base, base/2
+	if s.Need >= 0 {
+		wantSpot = max(wantSpot, int(math.Ceil(s.Need/spotUse)))
+		wantAll = max(int(math.Ceil(s.Need/firmUse)), len(zones)*s.Scaling.Least)
 	}
-	firm := 0
-	if float64(spot) < swapShare*float64(total) {
-		firm = max(0, int(math.Ceil(safeShare*float64(total)))-spot)
+	out := planSpot(s, zones, wantSpot)
+	firm := max(0, wantAll-spot)
+	if s.Idle && spot > 0 {
+		firm = 0 // what is ordered is there before the first requests
 	}
 	return append(out, planFirm(s, zones, firm)...)
 }
 
+// planSpot spreads reclaimable endpoints evenly over the zones, since a zone's
+// are taken away together.
+func planSpot(s ScaleState, zones []string, want int) []ScaleOrder {
+	var out []ScaleOrder
+	for i, z := range zones {
+		n := want / len(zones)
+		if i < want%len(zones) {
+			n++
+		}
+		out = append(out, ScaleOrder{ScaleKind{z, true}, min(max(n, s.Scaling.Least), s.Scaling.Most)})
+	}
+	return out
+}
+
 // planFirm spreads endpoints that cannot be reclaimed over the cheapest zones,
 // keeping those that are there already.
 func planFirm(s ScaleState, zones []string, firm int) []ScaleOrder {
@@ -117,6 +144,36 @@
 	base    map[string]int
 	ordered map[ScaleKind]scaleOrdered
 	refused map[ScaleKind]time.Time
+	demand  demand
+	spare   time.Time // since when there are too many dear endpoints
+}
+
+// demand follows how many endpoints would be busy all the time.
+type demand struct {
+	at   time.Time
+	read time.Duration
+	need float64
+	seen bool
+}
+
+// take takes in the reading ever asked of a service.
+func (d *demand) take(now time.Time, read time.Duration) {
+	if d.at.IsZero() {
+		d.at, d.read = now, read
+		return
+	}
+	dt := now.Sub(d.at)
+	if dt < demandRise {
+		return
+	}
+	rate := (read - d.read).Seconds() / dt.Seconds()
+	d.seen = d.seen || rate > 0
+	span := demandFall
+	if rate > d.need {
+		span = demandRise
+	}
+	d.need += (rate - d.need) * (1 - math.Exp(-dt.Seconds()/span.Seconds()))
+	d.at, d.read = now, read
 }
 
 type scaleOrdered struct {
@@ -155,8 +212,7 @@
 		x.state[b.Name] = s
 	}
 	now := time.Now()
-	plan := PlanScale(now, ScaleState{Scaling: *b.Scaling, Base: s.base, Live: live})
-	for _, o := range plan {
+	for _, o := range x.plan(now, b, s, live) {
 		if !s.due(now, o, live[o.ScaleKind]) {
 			continue
 		}
@@ -167,6 +223,53 @@
 	}
 }
 
+// plan returns the orders that a service should have now.
+func (x *scaleDuty) plan(now time.Time, b version.Backend, s *serviceScale, live map[ScaleKind]int) []ScaleOrder {
+	pool := x.d.work(b.Name).Pool
+	s.demand.take(now, pool.Reading())
+	need := -1.0
+	if s.demand.seen {
+		load, places := pool.Busy()
+		need = s.demand.need
+		if places > 0 && len(pool.Targets()) > 0 {
+			slots := float64(places) / float64(len(pool.Targets()))
+			need = math.Max(need, firmUse/placeUse*float64(load)/slots)
+		}
+	}
+	coming := make(map[ScaleKind]int)
+	for k, o := range s.ordered {
+		if now.Sub(o.at) < b.Scaling.Startup+time.Second && o.count > live[k] {
+			coming[k] = o.count - live[k]
+		}
+	}
+	plan := PlanScale(ScaleState{Scaling: *b.Scaling, Base: s.base, Live: live, Coming: coming, Need: need, Idle: !s.demand.seen})
+	return s.settle(now, plan, live)
+}
+
+// settle leaves dear endpoints running for a while before they are given up.
+func (s *serviceScale) settle(now time.Time, plan []ScaleOrder, live map[ScaleKind]int) []ScaleOrder {
+	fewer := false
+	for _, o := range plan {
+		fewer = fewer || !o.Reclaimable && o.Count < live[o.ScaleKind]
+	}
+	if !fewer || !s.demand.seen {
+		s.spare = time.Time{}
+		return plan
+	}
+	if s.spare.IsZero() {
+		s.spare = now
+	}
+	if now.Sub(s.spare) >= firmHold {
+		return plan
+	}
+	for i, o := range plan {
+		if !o.Reclaimable {
+			plan[i].Count = max(o.Count, live[o.ScaleKind])
+		}
+	}
+	return plan
+}
+
 // due reports whether an order is to be sent now.
 func (s *serviceScale) due(now time.Time, o ScaleOrder, live int) bool {
 	if now.Before(s.refused[o.ScaleKind]) {
@@ -190,13 +293,12 @@
 	fields := logrus.Fields{"part": "scale", "service": service, "zone": o.Zone, "reclaimable": o.Reclaimable, "count": o.Count, "fence": f.Token}
 	if err != nil {
 		s.refused[o.ScaleKind] = now.Add(drySpell)
-		if !errors.Is(err, platform.ErrNoneToHave) {
-			x.d.log.WithFields(fields).Warnf("order failed: %v", err)
-			return
-		}
+		delete(s.ordered, o.ScaleKind)
+		x.d.log.WithFields(fields).Infof("not ordered: %v", err)
+		return
 	}
 	s.ordered[o.ScaleKind] = scaleOrdered{o.Count, now}
-	x.d.log.WithFields(fields).Infof("ordered: %v", err)
+	x.d.log.WithFields(fields).Info("ordered")
 }
 
 // live counts the endpoints of a service that take requests.
--- a/request/backlog.go
+++ b/request/backlog.go
@@ -112,6 +112,7 @@
 	m := Mark{alone: b.left == 0, own: own, fresh: fresh, total: total, at: now}
 	b.left += own
 	b.added += own
+	b.cost.Count(own)
 	m.added = b.added
 	for _, p := range shared {
 		b.keep(p)
--- a/request/pool.go
+++ b/request/pool.go
@@ -188,6 +188,26 @@
 	return batch, load
 }
 
+// Reading returns the time of reading prompts that all daemons together have
+// sent to the engines, as far as it is known here.
+func (p *Pool) Reading() time.Duration {
+	return p.cost.Counted()
+}
+
+// Busy returns the requests that run or wait at the endpoints, and the places.
+func (p *Pool) Busy() (load, places int) {
+	for _, t := range p.Targets() {
+		if _, leaving := t.Leaving(); leaving {
+			continue
+		}
+		t.mu.Lock()
+		places += t.batch
+		t.mu.Unlock()
+		load += int(t.load.Load())
+	}
+	return load, places
+}
+
 // hitKey is a prefix on an endpoint.
 type hitKey struct {
 	prefix uint64
--- a/request/readcost.go
+++ b/request/readcost.go
@@ -32,7 +32,8 @@
 // each token, and one for each pair of a token and one before it. It is fitted
 // to the prompts that were read with nothing before them, by least squares.
 type ReadCost struct {
-	mu sync.Mutex
+	mu    sync.Mutex
+	total time.Duration // of all prompts that were sent
 	// sums over samples of tokens (thousands), pairs (millions) and seconds
 	tt, tp, pp, ts, ps float64
 }
@@ -85,3 +86,17 @@
 	c.ts += t * s
 	c.ps += p * s
 }
+
+// Count adds to the time of reading that was ever sent to the engines.
+func (c *ReadCost) Count(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.total += d
+}
+
+// Counted returns the time of reading that was ever sent to the engines.
+func (c *ReadCost) Counted() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.total
+}
