--- a/entry/meters.go
+++ b/entry/meters.go
@@ -14,10 +14,11 @@
 // meters are the daemon's counters and histograms.
 type meters struct {
 	registry metrics.Registry
-	cut      metrics.Counter // answers broken off after a part had gone out
-	left     metrics.Counter // callers that left before their answer
-	failed   metrics.Counter // endpoints' own failures passed on
-	whole    metrics.Timer   // whole answers, from arrival to end
+	cut      metrics.Counter   // answers broken off after a part had gone out
+	left     metrics.Counter   // callers that left before their answer
+	failed   metrics.Counter   // endpoints' own failures passed on
+	whole    metrics.Histogram // whole answers, milliseconds from arrival to end
+	first    metrics.Histogram // milliseconds from arrival to the first byte of an answer
 }
 
 // sampleSize bounds the memory of a histogram.
@@ -28,12 +29,21 @@
 	m.cut = metrics.GetOrRegisterCounter("answers.cut", m.registry)
 	m.left = metrics.GetOrRegisterCounter("callers.left", m.registry)
 	m.failed = metrics.GetOrRegisterCounter("answers.endpoint_failure", m.registry)
-	m.whole = metrics.NewCustomTimer(metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, 0.015)), metrics.NewMeter())
-	m.registry.Register("answers.whole", m.whole)
+	m.whole = m.histogram("answers.whole_ms")
+	m.first = m.histogram("answers.first_ms")
 	return m
 }
 
-func (m *meters) answered(took time.Duration) { m.whole.Update(took) }
+// sampleDecay favours the last minutes.
+const sampleDecay = 0.015
+
+func (m *meters) histogram(name string) metrics.Histogram {
+	h := metrics.NewHistogram(metrics.NewExpDecaySample(sampleSize, sampleDecay))
+	m.registry.Register(name, h)
+	return h
+}
+
+func (m *meters) answered(took time.Duration) { m.whole.Update(took.Milliseconds()) }
 
 func (m *meters) refused(c code.Code) {
 	metrics.GetOrRegisterCounter("errors."+c.Entry().Name, m.registry).Inc(1)
--- /dev/null
+++ b/entry/world_test.go
@@ -0,0 +1,223 @@
+// SPDX-License-Identifier: MIT
+
+package entry_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"streambend.example/entry"
+	"streambend.example/internal/standin"
+	"streambend.example/platform"
+)
+
+// world is some daemons among stand-ins of the users' platform, over a network
+// in memory and in virtual time.
+type world struct {
+	t       *testing.T
+	net     *standin.Net
+	store   *standin.Rows
+	api     *standin.DutyAPI
+	daemons []*entry.Daemon
+	cut     []context.CancelFunc
+	runners []*standin.Runner
+	client  *http.Client
+	version int64
+	routes  []map[string]any
+	keys    []string
+	rate    float64
+}
+
+// The service names, hosts and keys of a world.
+const (
+	host    = "some.example"
+	engines = "engines"
+	plain   = "plain"
+	team    = "team-a"
+	key     = "key-a"
+)
+
+// inWorld runs f in virtual time among so many daemons.
+func inWorld(t *testing.T, daemons int, f func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.put()
+		for range daemons {
+			w.start()
+		}
+		time.Sleep(2 * time.Second)
+		synctest.Wait()
+		f(w)
+		w.close()
+	})
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, net: standin.NewNet(), keys: []string{key}, rate: 0}
+	var err error
+	w.store, err = standin.NewRows(w.net, "10.9.0.1:80")
+	require.NoError(t, err)
+	w.api, err = standin.NewDutyAPI(w.net, "10.9.0.2:80")
+	require.NoError(t, err)
+	w.routes = []map[string]any{
+		w.route("/digest/", "streaming", engines, map[string]any{"attempts": 1}),
+		w.route("/explain/", "streaming", engines, map[string]any{"attempts": 2, "resumable": true}),
+		w.route("/write/", "unsafe", plain, map[string]any{"attempts": 1}),
+		w.route("/read/", "safe", plain, map[string]any{"attempts": 2}),
+	}
+	w.client = &http.Client{Transport: &http.Transport{DialContext: w.net.Dial, DisableCompression: true}}
+	return w
+}
+
+func (w *world) route(prefix, kind, service string, more map[string]any) map[string]any {
+	r := map[string]any{
+		"name": "r" + prefix, "host": host, "path_prefix": prefix, "kind": kind, "timeout_ms": 8000,
+		"target_latency_ms": 600, "priority": 1, "service": service, "target_gap_ms": 500,
+	}
+	for k, v := range more {
+		r[k] = v
+	}
+	return r
+}
+
+// put writes the next version of the configuration.
+func (w *world) put() {
+	w.version += 3
+	b, err := json.Marshal(map[string]any{
+		"version": w.version, "routes": w.routes,
+		"services": []map[string]any{
+			{"name": engines, "health_path": "/health", "connection_limit": 100, "engine": map[string]any{"slots": 8, "kv_cache_tokens": 500000},
+				"scaling": map[string]any{"minimum": 1, "maximum": 6, "startup_s": 4, "spot_price": 0.2, "zone_prices": map[string]any{"a": 1.0, "b": 0.8}}},
+			{"name": plain, "health_path": "/health", "connection_limit": 100},
+		},
+		"limits": map[string]any{"header_bytes": 16384, "body_bytes": 100000, "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
+		"tenants": []map[string]any{{
+			"name": team, "api_keys": w.keys, "unit": "tokens", "plain_tokens": 200, "rate_per_s": w.rate, "burst": w.rate,
+		}},
+	})
+	require.NoError(w.t, err)
+	w.store.Put(platform.CatalogTable, "", "config", b)
+}
+
+// start starts one more daemon.
+func (w *world) start() *entry.Daemon {
+	d := w.startNamed(fmt.Sprintf("daemon-%d", len(w.daemons)), len(w.daemons))
+	w.daemons = append(w.daemons, d)
+	return d
+}
+
+func (w *world) startNamed(name string, i int) *entry.Daemon {
+	settings := fmt.Sprintf(`{"node_name": %q, "zone": "a", "ip_address": "10.0.0.%d",
+		"listen_addresses": {"frontend": "10.0.0.%d:80", "ready": "10.0.0.%d:81", "control_plane": "10.0.0.%d:82"},
+		"limits": {"cpu_share": 0.4, "memory_mb": 284},
+		"bounds": {"drain_ms": 2000, "grace_period_s": 8, "configuration_ms": 2000, "revocation_ms": 5000, "strict_revocation": true,
+			"retry_budget_ratio": 0.2, "budget_window_s": 10, "retry_budget_slack": 56, "quota_window_s": 8, "lease_ms": 3000,
+			"usage_window_s": 5, "usage_lateness_s": 10},
+		"platform": {"address": %q}, "cloud_api": {"address": %q, "duties": ["usage_reporting", "scaling"], "duty_per_s": 50}}`,
+		name, i, i, i, i, w.store.Address(), w.api.Address())
+	site, err := platform.ReadSite(strings.NewReader(settings))
+	require.NoError(w.t, err)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(w.t.Context())
+	w.cut = append(w.cut, cancel)
+	d, err := entry.New(site, named{w.net, ctx, name}, log)
+	require.NoError(w.t, err)
+	return d
+}
+
+// named is a daemon's view of the network, which says in each call to the store
+// whose it is.
+type named struct {
+	*standin.Net
+	ctx  context.Context
+	name string
+}
+
+// runner starts an endpoint and enters it in the store.
+func (w *world) runner(service, zone, id string, events int) *standin.Runner {
+	r, err := standin.NewRunner(w.net, "127.0.0.1:0", id, events, 20*time.Millisecond)
+	require.NoError(w.t, err)
+	w.runners = append(w.runners, r)
+	w.store.Put(platform.RunnerTable, "", id, r.Entry(service, zone, "ready"))
+	time.Sleep(50 * time.Millisecond)
+	return r
+}
+
+// answer is what a caller gets.
+type answer struct {
+	status int
+	body   string
+	header http.Header
+	err    error // the answer is not whole
+}
+
+// ask sends a request to a daemon.
+func (w *world) ask(daemon int, method, path, id string, header ...string) answer {
+	body := ""
+	if method == http.MethodPost {
+		body = "body of " + id
+	}
+	req, err := http.NewRequest(method, fmt.Sprintf("http://10.0.0.%d:80%s", daemon, path), strings.NewReader(body))
+	require.NoError(w.t, err)
+	req.Host = host
+	req.Header.Set("Streambend-Request-Id", id)
+	req.Header.Set("Streambend-Deadline-Milliseconds", "5000")
+	req.Header.Set("Api-Key", key)
+	for i := 0; i+1 < len(header); i += 2 {
+		req.Header.Set(header[i], header[i+1])
+	}
+	resp, err := w.client.Do(req)
+	if err != nil {
+		return answer{err: err}
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	return answer{resp.StatusCode, string(b), resp.Header, err}
+}
+
+// ready asks a daemon as the balancer does.
+func (w *world) ready(daemon int) bool {
+	resp, err := w.client.Get(fmt.Sprintf("http://10.0.0.%d:81/streambend/readiness", daemon))
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func (w *world) close() {
+	for _, d := range w.daemons {
+		d.Kill()
+	}
+	for _, c := range w.cut {
+		c()
+	}
+	for _, r := range w.runners {
+		r.Close()
+	}
+	w.client.CloseIdleConnections()
+	w.store.Close()
+	w.api.Close()
+	time.Sleep(time.Second)
+}
+
+// Dial implements seam.Network; the daemon is cut off once its context ends.
+func (n named) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if n.ctx.Err() != nil {
+		return nil, n.ctx.Err()
+	}
+	return n.Net.Dial(ctx, network, address)
+}
--- /dev/null
+++ b/internal/standin/duty.go
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: MIT
+
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+
+	"streambend.example/seam"
+)
+
+// DutyCall is a call that the cloud API has taken.
+type DutyCall struct {
+	Path   string
+	Holder string
+	Fence  int64
+	Body   string
+}
+
+// ScaleCall is the body of an order.
+type ScaleCall struct {
+	Service string `json:"service"`
+	Zone    string `json:"zone"`
+	Count   int    `json:"desired_count"`
+	Spot    bool   `json:"spot"`
+}
+
+// Order decodes the body of an order.
+func (c DutyCall) Order() (s ScaleCall) {
+	json.Unmarshal([]byte(c.Body), &s) // a wrong body shows as a wrong order
+	return s
+}
+
+// DutyAPI is a stand-in of the users' platform's cloud API.
+type DutyAPI struct {
+	server *http.Server
+	addr   string
+
+	mu    sync.Mutex
+	calls []DutyCall
+	dry   bool // no reclaimable endpoint is to be had
+	lose  bool // takes calls and answers 500
+}
+
+// NewDutyAPI starts the API at an address.
+func NewDutyAPI(n seam.Network, address string) (*DutyAPI, error) {
+	a := &DutyAPI{}
+	var err error
+	a.server, a.addr, err = listenAt(n, address, http.HandlerFunc(a.serve))
+	return a, err
+}
+
+// Address returns host:port.
+func (a *DutyAPI) Address() string { return a.addr }
+
+// Close ends the API.
+func (a *DutyAPI) Close() { a.server.Close() }
+
+// SetDry tells whether orders of reclaimable endpoints are refused.
+func (a *DutyAPI) SetDry(dry bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.dry = dry
+}
+
+// SetLose tells whether calls are taken but answered with a failure.
+func (a *DutyAPI) SetLose(lose bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lose = lose
+}
+
+// Calls returns the calls taken on a path.
+func (a *DutyAPI) Calls(path string) []DutyCall {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var out []DutyCall
+	for _, c := range a.calls {
+		if c.Path == path {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func (a *DutyAPI) serve(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	fence, errFence := strconv.ParseInt(r.Header.Get("Streambend-Fencing-Token"), 10, 64)
+	if err != nil || errFence != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	c := DutyCall{Path: r.URL.Path, Holder: r.Header.Get("Streambend-Duty-Holder"), Fence: fence, Body: string(body)}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.dry && c.Path == "/scale" && c.Order().Spot {
+		w.WriteHeader(http.StatusConflict)
+		return
+	}
+	a.calls = append(a.calls, c)
+	if a.lose {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
+}
--- a/internal/standin/net.go
+++ b/internal/standin/net.go
@@ -35,17 +35,23 @@
 func (pipeAddr) Network() string  { return "tcp" }
 func (a pipeAddr) String() string { return string(a) }
 
-// Listen implements platform.Network; the port asked for is ignored.
-func (n *Net) Listen(string) (net.Listener, error) {
+// Listen implements seam.Network. An address whose port is 0 gets one of its own.
+func (n *Net) Listen(address string) (net.Listener, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.last++
-	l := &pipeListener{net: n, addr: pipeAddr(fmt.Sprintf("127.0.0.1:%d", 1024+n.last)), conns: make(chan net.Conn), done: make(chan struct{})}
+	if _, port, err := net.SplitHostPort(address); err != nil || port == "0" {
+		n.last++
+		address = fmt.Sprintf("127.0.0.1:%d", 1024+n.last)
+	}
+	if n.ports[address] != nil {
+		return nil, errors.Errorf("standin: %s is taken", address)
+	}
+	l := &pipeListener{net: n, addr: pipeAddr(address), conns: make(chan net.Conn), done: make(chan struct{})}
 	n.ports[string(l.addr)] = l
 	return l, nil
 }
 
-// Dial implements platform.Network.
+// Dial implements seam.Network.
 func (n *Net) Dial(ctx context.Context, _, address string) (net.Conn, error) {
 	n.mu.Lock()
 	l := n.ports[address]
--- /dev/null
+++ b/internal/standin/rows.go
@@ -0,0 +1,269 @@
+// SPDX-License-Identifier: MIT
+
+package standin
+
+import (
+	"encoding/json"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"streambend.example/seam"
+)
+
+// RowsFault is what the rows' store does wrong.
+type RowsFault struct {
+	Busy   bool            // answers 503 to all
+	Silent bool            // answers nothing
+	Lost   bool            // does what it is asked and answers nothing
+	Delay  time.Duration   // before each answer
+	Away   map[string]bool // callers, by the word in their X-Daemon header, that get 503
+}
+
+// Rows is a stand-in of the users' platform's transactional store, with the few
+// calls that the adapter makes.
+type Rows struct {
+	server *http.Server
+	addr   string
+	began  time.Time
+
+	mu      sync.Mutex
+	fault   RowsFault
+	version int64
+	rows    map[rowKey]storedRow
+	forgot  int64 // changes up to this version are forgotten
+	wake    chan struct{}
+	calls   map[string]int
+}
+
+type rowKey struct{ table, part, key string }
+
+type storedRow struct {
+	value   []byte
+	version int64
+	removed bool
+}
+
+type rowJSON struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"private_key"`
+	Value   []byte `json:"value,omitempty"`
+	Version int64  `json:"schema_version"`
+	Removed bool   `json:"removed,omitempty"`
+}
+
+type pageJSON struct {
+	Rows    []rowJSON `json:"rows"`
+	More    bool      `json:"more_pages"`
+	Version int64     `json:"schema_version"`
+	ClockMS float64   `json:"current_time_ms"`
+}
+
+type txJSON struct {
+	If     []rowJSON `json:"expected_revision"`
+	Writes []rowJSON `json:"writes"`
+	Remove []rowJSON `json:"remove"`
+}
+
+// NewRows starts an empty store at an address.
+func NewRows(n seam.Network, address string) (*Rows, error) {
+	s := &Rows{began: time.Now(), version: 1, rows: make(map[rowKey]storedRow), wake: make(chan struct{}), calls: make(map[string]int)}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /streambend/rows-get", s.faulty(s.serveGet))
+	mux.HandleFunc("GET /streambend/rows-feed", s.faulty(s.serveFeed))
+	mux.HandleFunc("POST /streambend/rows-tx", s.faulty(s.serveTx))
+	var err error
+	s.server, s.addr, err = listenAt(n, address, mux)
+	return s, err
+}
+
+// Address returns host:port.
+func (s *Rows) Address() string { return s.addr }
+
+// Close ends the store.
+func (s *Rows) Close() { s.server.Close() }
+
+// SetFault replaces the fault in force.
+func (s *Rows) SetFault(f RowsFault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// Calls returns how often a path was called.
+func (s *Rows) Calls(path string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[path]
+}
+
+// Put writes a row as the operator or an endpoint does.
+func (s *Rows) Put(table, part, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version += 3
+	s.set(rowKey{table, part, key}, storedRow{value: value, version: s.version})
+}
+
+// Drop removes a row.
+func (s *Rows) Drop(table, part, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version += 3
+	s.set(rowKey{table, part, key}, storedRow{version: s.version, removed: true})
+}
+
+// Forget drops the history of changes.
+func (s *Rows) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgot = s.version
+	for k, r := range s.rows {
+		if r.removed {
+			delete(s.rows, k)
+		}
+	}
+	s.notify()
+}
+
+// Value returns a row's value, or nil.
+func (s *Rows) Value(table, part, key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.rows[rowKey{table, part, key}].value
+}
+
+func (s *Rows) set(k rowKey, r storedRow) {
+	s.rows[k] = r
+	s.notify()
+}
+
+func (s *Rows) notify() {
+	close(s.wake)
+	s.wake = make(chan struct{})
+}
+
+// faulty wraps a handler with the faults.
+func (s *Rows) faulty(h func(w http.ResponseWriter, r *http.Request) (int, any)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		f := s.fault
+		s.calls[r.URL.Path]++
+		s.mu.Unlock()
+		if f.Busy || f.Away[r.Header.Get(daemonHeader)] {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if f.Silent {
+			<-r.Context().Done()
+			return
+		}
+		time.Sleep(f.Delay)
+		status, body := h(w, r)
+		if f.Lost && r.Method == http.MethodPost {
+			<-r.Context().Done()
+			return
+		}
+		w.WriteHeader(status)
+		json.NewEncoder(w).Encode(body)
+	}
+}
+
+// daemonHeader names the daemon that calls, where a test's network adds it.
+const daemonHeader = "X-Daemon"
+
+func (s *Rows) page(rows []rowJSON) pageJSON {
+	return pageJSON{Rows: rows, Version: s.version, ClockMS: float64(time.Since(s.began)) / float64(time.Millisecond)}
+}
+
+func (s *Rows) serveGet(_ http.ResponseWriter, r *http.Request) (int, any) {
+	q := r.URL.Query()
+	limit, err := strconv.Atoi(q.Get("limit"))
+	if err != nil {
+		limit = 500
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []rowJSON
+	for k, v := range s.rows {
+		if k.table == q.Get("table") && k.part == q.Get("part") && k.key >= q.Get("from") && !v.removed {
+			out = append(out, rowJSON{k.table, k.part, k.key, v.value, v.version, false})
+		}
+	}
+	slices.SortFunc(out, func(a, b rowJSON) int { return strings.Compare(a.Key, b.Key) })
+	p := s.page(out[:min(limit, len(out))])
+	p.More = len(out) > limit
+	return http.StatusOK, p
+}
+
+func (s *Rows) serveFeed(_ http.ResponseWriter, r *http.Request) (int, any) {
+	q := r.URL.Query()
+	after, _ := strconv.ParseInt(q.Get("after_revision"), 10, 64) // the adapter always sends a number
+	wait, _ := strconv.Atoi(q.Get("wait_ms"))
+	over := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		wake := s.wake
+		gone := after < s.forgot
+		rows := s.changes(q.Get("table"), after)
+		p := s.page(rows)
+		s.mu.Unlock()
+		if gone {
+			return http.StatusGone, nil
+		}
+		if len(rows) > 0 {
+			return http.StatusOK, p
+		}
+		select {
+		case <-wake:
+		case <-over:
+			return http.StatusOK, p
+		case <-r.Context().Done():
+			return http.StatusOK, p
+		}
+	}
+}
+
+// changes returns the rows of a table that changed after a version, in order;
+// the caller holds the lock.
+func (s *Rows) changes(table string, after int64) []rowJSON {
+	var out []rowJSON
+	for k, v := range s.rows {
+		if k.table == table && v.version > after {
+			out = append(out, rowJSON{k.table, k.part, k.key, v.value, v.version, v.removed})
+		}
+	}
+	slices.SortFunc(out, func(a, b rowJSON) int { return int(a.Version - b.Version) })
+	return out
+}
+
+func (s *Rows) serveTx(_ http.ResponseWriter, r *http.Request) (int, any) {
+	var tx txJSON
+	if err := json.NewDecoder(r.Body).Decode(&tx); err != nil {
+		return http.StatusBadRequest, nil
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range tx.If {
+		row := s.rows[rowKey{c.Table, c.Part, c.Key}]
+		have := row.version
+		if row.removed {
+			have = 0
+		}
+		if have != c.Version {
+			return http.StatusPreconditionFailed, s.page(nil)
+		}
+	}
+	s.version += 2
+	for _, x := range tx.Writes {
+		s.set(rowKey{x.Table, x.Part, x.Key}, storedRow{value: x.Value, version: s.version})
+	}
+	for _, x := range tx.Remove {
+		s.set(rowKey{x.Table, x.Part, x.Key}, storedRow{version: s.version, removed: true})
+	}
+	return http.StatusOK, s.page(nil)
+}
--- /dev/null
+++ b/internal/standin/runner.go
@@ -0,0 +1,204 @@
+// SPDX-License-Identifier: MIT
+
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"streambend.example/seam"
+)
+
+// RunnerFault is what a Runner does wrong.
+type RunnerFault struct {
+	NotRun    bool // turns all requests away
+	Fail      bool // runs them and answers 500
+	OtherID   bool // answers with another request's id
+	CutAfter  int  // breaks a stream off after so many events
+	CutEvent  bool // within the next one
+	Mute      bool // takes a request and answers nothing
+	NoLength  bool // answers without a length, and closes the connection
+	CutAnswer bool // breaks a whole answer off
+}
+
+// Ran is a request that a Runner has run.
+type Ran struct {
+	ID       string
+	Method   string
+	Target   string
+	Body     string
+	Header   http.Header
+	Left     bool // the caller left while it ran
+	Instance string
+}
+
+// Runner is a stand-in of the users' platform's endpoints: a plain service, or
+// an engine that answers with a stream of numbered events.
+type Runner struct {
+	Instance string
+	Events   int           // of a stream; 0 for a plain service
+	Pace     time.Duration // between two events, or of a plain call
+
+	server *http.Server
+	addr   string
+
+	mu    sync.Mutex
+	fault RunnerFault
+	ran   []Ran
+}
+
+// NewRunner starts a runner at an address.
+func NewRunner(n seam.Network, address, instance string, events int, pace time.Duration) (*Runner, error) {
+	r := &Runner{Instance: instance, Events: events, Pace: pace}
+	var err error
+	r.server, r.addr, err = listenAt(n, address, http.HandlerFunc(r.serve))
+	return r, err
+}
+
+// Address returns host:port.
+func (r *Runner) Address() string { return r.addr }
+
+// Close ends the runner and cuts its connections.
+func (r *Runner) Close() { r.server.Close() }
+
+// SetFault replaces the fault in force.
+func (r *Runner) SetFault(f RunnerFault) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.fault = f
+}
+
+// Ran returns the requests that were run.
+func (r *Runner) Ran() []Ran {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Ran(nil), r.ran...)
+}
+
+// Entry returns the runner's row in the store.
+func (r *Runner) Entry(service, zone, state string) []byte {
+	b, _ := json.Marshal(map[string]any{ // a map of strings and numbers always encodes
+		"service": service, "address": r.addr, "zone": zone, "state": state, "slots": 8, "sequence": 1,
+	})
+	return b
+}
+
+func (r *Runner) serve(w http.ResponseWriter, q *http.Request) {
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return
+	}
+	r.mu.Lock()
+	f := r.fault
+	r.mu.Unlock()
+	id := q.Header.Get("Streambend-Request-Id")
+	h := w.Header()
+	h["Date"] = nil // so that a test sees what the system adds
+	h.Set("Streambend-Request-Id", id)
+	h.Set("Streambend-Server-Load", "1,0,8")
+	switch {
+	case q.Header.Get("Streambend-Expected-Instance") != r.Instance:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	case f.NotRun:
+		h.Set("Streambend-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	at := r.begin(Ran{ID: id, Method: q.Method, Target: q.RequestURI, Body: string(body), Header: q.Header.Clone(), Instance: r.Instance})
+	h.Set("Streambend-Server-Signature", "signed by "+r.Instance)
+	switch {
+	case f.Mute:
+		<-q.Context().Done()
+		r.left(at)
+		return
+	case f.Fail:
+		w.WriteHeader(http.StatusInternalServerError)
+		fmt.Fprint(w, "failed")
+		return
+	case f.OtherID:
+		h.Set("Streambend-Request-Id", "another")
+	}
+	if r.Events > 0 {
+		r.stream(w, q, f, at)
+		return
+	}
+	time.Sleep(r.Pace)
+	r.whole(w, f, "answer to "+id)
+}
+
+func (r *Runner) begin(x Ran) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ran = append(r.ran, x)
+	return len(r.ran) - 1
+}
+
+func (r *Runner) left(at int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.ran[at].Left = true
+}
+
+func (r *Runner) whole(w http.ResponseWriter, f RunnerFault, text string) {
+	switch {
+	case f.CutAnswer:
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)+10))
+		fmt.Fprint(w, text)
+		panic(http.ErrAbortHandler)
+	case f.NoLength:
+		c, buf, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		fmt.Fprint(buf, "HTTP/1.1 200 OK\r\n")
+		w.Header().Write(buf)
+		fmt.Fprintf(buf, "Connection: close\r\n\r\n%s", text)
+		buf.Flush()
+	default:
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+		fmt.Fprint(w, text)
+	}
+}
+
+func (r *Runner) stream(w http.ResponseWriter, q *http.Request, f RunnerFault, at int) {
+	w.Header().Set("Content-Type", "text/event-stream")
+	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id")) // absent: from the start
+	flush := http.NewResponseController(w)
+	for i := from + 1; i <= r.Events; i++ {
+		if f.CutAfter > 0 && i > f.CutAfter {
+			if f.CutEvent {
+				fmt.Fprintf(w, "id: %d\nda", i)
+			}
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-q.Context().Done():
+			r.left(at)
+			return
+		case <-time.After(r.Pace):
+		}
+		fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", i, i)
+		flush.Flush()
+	}
+}
+
+// listenAt starts a server at an address.
+func listenAt(n seam.Network, address string, h http.Handler) (*http.Server, string, error) {
+	l, err := n.Listen(address)
+	if err != nil {
+		return nil, "", err
+	}
+	s := &http.Server{Handler: h}
+	go s.Serve(l) // returns when the server is closed
+	return s, addressOf(l), nil
+}
+
+func addressOf(l net.Listener) string { return l.Addr().String() }
