--- /dev/null
+++ b/entry/state_test.go
@@ -0,0 +1,241 @@
+// SPDX-License-Identifier: MIT
+
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"streambend.example/internal/standin"
+	"streambend.example/platform"
+)
+
+func TestAConfigurationIsInForceSoonAndNeverGoesBack(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		w.runner(plain, "a", "i-1", 0)
+		w.routes = append(w.routes, w.route("/new/", "unsafe", plain, nil))
+		w.put()
+		time.Sleep(300 * time.Millisecond)
+		for d := range 2 {
+			assert.Equal(t, http.StatusOK, w.ask(d, http.MethodPost, "/new/", fmt.Sprint("id-", d)).status)
+		}
+		w.routes = w.routes[:len(w.routes)-1]
+		w.version -= 4 // an older version, as a late writer would put it
+		w.put()
+		time.Sleep(300 * time.Millisecond)
+		assert.Equal(t, http.StatusOK, w.ask(0, http.MethodPost, "/new/", "id-3").status)
+	})
+}
+
+func TestAForgottenHistoryIsReadAnew(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		r := w.runner(plain, "a", "i-1", 0)
+		w.store.SetFault(standin.RowsFault{Busy: true})
+		time.Sleep(500 * time.Millisecond)
+		w.runner(plain, "a", "i-2", 0)
+		w.store.Drop(platform.RunnerTable, "", "i-1")
+		w.store.Forget()
+		w.store.SetFault(standin.RowsFault{})
+		time.Sleep(3 * time.Second)
+		for i := range 5 {
+			assert.Equal(t, http.StatusOK, w.ask(0, http.MethodPost, "/write/", fmt.Sprint("id-", i)).status)
+		}
+		assert.Empty(t, r.Ran(), "its entry is gone")
+	})
+}
+
+func TestEndpointsThatLapseInAnOutageAreHeld(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		r := w.runner(plain, "a", "i-1", 0)
+		w.store.SetFault(standin.RowsFault{Silent: true})
+		time.Sleep(2500 * time.Millisecond)
+		w.store.Drop(platform.RunnerTable, "", "i-1")
+		w.store.SetFault(standin.RowsFault{})
+		time.Sleep(1500 * time.Millisecond)
+		assert.Equal(t, http.StatusOK, w.ask(0, http.MethodPost, "/write/", "id-1").status, "its entry may come back")
+		w.store.Put(platform.RunnerTable, "", "i-1", r.Entry(plain, "a", "ready"))
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, http.StatusOK, w.ask(0, http.MethodPost, "/write/", "id-2").status, "it has come back")
+		w.store.Drop(platform.RunnerTable, "", "i-1")
+		time.Sleep(300 * time.Millisecond)
+		assert.Equal(t, http.StatusServiceUnavailable, w.ask(0, http.MethodPost, "/write/", "id-3").status, "it is gone")
+	})
+}
+
+func TestARevokedKeyIsDeadAtABoxThatIsCutOff(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		w.runner(plain, "a", "i-1", 0)
+		w.store.SetFault(standin.RowsFault{Silent: true})
+		revoked := time.Now()
+		for i := 0; time.Since(revoked) < 8*time.Second; i++ {
+			a := w.ask(0, http.MethodPost, "/write/", fmt.Sprint("id-", i))
+			switch since := time.Since(revoked); {
+			case since < 4*time.Second:
+				assert.Equal(t, http.StatusOK, a.status, "an outage of 4 s is ridden out, after %s", since)
+			case since > 5*time.Second:
+				assert.Equal(t, http.StatusServiceUnavailable, a.status, "after %s", since)
+				assert.NotEmpty(t, a.header.Get("Retry-After"))
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.False(t, w.ready(0))
+		w.store.SetFault(standin.RowsFault{})
+		time.Sleep(2500 * time.Millisecond)
+		assert.True(t, w.ready(0))
+		assert.Equal(t, http.StatusOK, w.ask(0, http.MethodPost, "/write/", "id-last").status)
+	})
+}
+
+func TestPeersKeepABoxFreshThatTheStoreTurnsAway(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		w.runner(plain, "a", "i-1", 0)
+		w.store.SetFault(standin.RowsFault{Away: map[string]bool{"daemon-0": true}})
+		time.Sleep(8 * time.Second)
+		assert.True(t, w.ready(0))
+		assert.Equal(t, http.StatusOK, w.ask(0, http.MethodPost, "/write/", "id-1").status)
+		w.keys = []string{"another"}
+		w.put()
+		time.Sleep(5 * time.Second)
+		for d := range 3 {
+			assert.Equal(t, http.StatusUnauthorized, w.ask(d, http.MethodPost, "/write/", fmt.Sprint("id-", d)).status)
+		}
+	})
+}
+
+func TestALimitHoldsOverAllDaemons(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		w.runner(plain, "a", "i-1", 0)
+		w.rate = 4000 // 20 plain requests a second
+		w.put()
+		time.Sleep(time.Second)
+		const span = 10 * time.Second
+		ok, refused := 0, 0
+		for i, began := 0, time.Now(); time.Since(began) < span; i++ {
+			a := w.ask(i%3, http.MethodPost, "/write/", fmt.Sprint("id-", i))
+			switch a.status {
+			case http.StatusOK:
+				ok++
+			case http.StatusTooManyRequests:
+				refused++
+				assert.NotEmpty(t, a.header.Get("Retry-After"))
+			default:
+				assert.Fail(t, "answer", "%d", a.status)
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		allowed := 4000.0 * (span.Seconds() + 1) / 200
+		assert.InDelta(t, allowed, ok, 0.1*allowed)
+		assert.Positive(t, refused)
+	})
+}
+
+func TestNothingIsRefusedBelowTheLimit(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		w.runner(plain, "a", "i-1", 0)
+		w.rate = 4000
+		w.put()
+		time.Sleep(time.Second)
+		for i := range 150 {
+			assert.Equal(t, http.StatusOK, w.ask(i%3, http.MethodPost, "/write/", fmt.Sprint("id-", i)).status)
+			time.Sleep(40 * time.Millisecond) // 17 a second with the answers
+		}
+	})
+}
+
+func TestUsageIsReportedOnceAndExactly(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		w.runner(plain, "a", "i-1", 0)
+		for i := range 60 {
+			w.ask(i%3, http.MethodPost, "/write/", fmt.Sprint("id-", i))
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		sum := 0
+		seen := make(map[string]bool)
+		for _, c := range w.api.Calls("/usage") {
+			if seen[c.Body] {
+				continue
+			}
+			seen[c.Body] = true
+			var window int64
+			var n int
+			if _, err := fmt.Sscanf(c.Body, `{"window":%d,"counts":{"team-a":%d}}`, &window, &n); err == nil {
+				sum += n
+			}
+		}
+		assert.Equal(t, 60, sum)
+	})
+}
+
+func TestALostAnswerOfTheAPIIsRepeatedToTheLetter(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		w.runner(plain, "a", "i-1", 0)
+		w.api.SetLose(true)
+		w.ask(0, http.MethodPost, "/write/", "id-1")
+		time.Sleep(12 * time.Second)
+		w.ask(0, http.MethodPost, "/write/", "id-2")
+		w.api.SetLose(false)
+		time.Sleep(5 * time.Second)
+		byWindow := make(map[int64]string)
+		for _, c := range w.api.Calls("/usage") {
+			var window int64
+			_, err := fmt.Sscanf(c.Body, `{"window":%d,`, &window)
+			require.NoError(t, err)
+			if before, ok := byWindow[window]; ok {
+				assert.Equal(t, before, c.Body)
+			}
+			byWindow[window] = c.Body
+		}
+	})
+}
+
+func TestDutiesGoOnAtAnotherDaemonUnderAHigherFence(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		time.Sleep(10 * time.Second)
+		calls := w.api.Calls("/usage")
+		require.NotEmpty(t, calls)
+		first := calls[len(calls)-1]
+		for _, d := range w.daemons {
+			if d.Self.Name == first.Holder {
+				d.Kill()
+			}
+		}
+		killed := len(calls)
+		time.Sleep(15 * time.Second)
+		calls = w.api.Calls("/usage")[killed:]
+		require.NotEmpty(t, calls)
+		for _, c := range calls {
+			assert.NotEqual(t, first.Holder, c.Holder)
+			assert.Greater(t, c.Fence, first.Fence)
+		}
+	})
+}
+
+func TestThePlannedStop(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		w.runner(engines, "a", "i-1", 100) // 2 s
+		done := make(chan answer)
+		go func() { done <- w.ask(0, http.MethodPost, "/digest/", "id-1") }()
+		time.Sleep(200 * time.Millisecond)
+		stopped := make(chan time.Duration)
+		began := time.Now()
+		go func() {
+			w.daemons[0].Stop(w.t.Context())
+			stopped <- time.Since(began)
+		}()
+		time.Sleep(100 * time.Millisecond)
+		assert.False(t, w.ready(0))
+		late := w.ask(0, http.MethodPost, "/digest/", "id-2")
+		require.NoError(t, late.err, "what still comes is served")
+		assert.Equal(t, events(100), late.body)
+		a := <-done
+		require.NoError(t, a.err)
+		assert.Equal(t, events(100), a.body)
+		assert.Less(t, <-stopped, 8*time.Second)
+	})
+}
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -46,6 +46,8 @@
 	plain   = "plain"
 	team    = "team-a"
 	key     = "key-a"
+
+	storeAddress = "10.9.0.1:80"
 )
 
 // inWorld runs f in virtual time among so many daemons.
@@ -67,7 +69,7 @@
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, net: standin.NewNet(), keys: []string{key}, rate: 0}
 	var err error
-	w.store, err = standin.NewRows(w.net, "10.9.0.1:80")
+	w.store, err = standin.NewRows(w.net, storeAddress)
 	require.NoError(t, err)
 	w.api, err = standin.NewDutyAPI(w.net, "10.9.0.2:80")
 	require.NoError(t, err)
@@ -214,10 +216,32 @@
 	time.Sleep(time.Second)
 }
 
+// hello is a connection that names its daemon in each request's headers.
+type hello struct {
+	net.Conn
+	name string
+}
+
+// Write implements net.Conn.
+func (c hello) Write(b []byte) (int, error) {
+	line, rest, ok := strings.Cut(string(b), "\r\n")
+	if !ok || !strings.HasSuffix(line, "HTTP/1.1") {
+		return c.Conn.Write(b)
+	}
+	if _, err := c.Conn.Write([]byte(line + "\r\nX-Daemon: " + c.name + "\r\n" + rest)); err != nil {
+		return 0, err
+	}
+	return len(b), nil
+}
+
 // Dial implements seam.Network; the daemon is cut off once its context ends.
 func (n named) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	if n.ctx.Err() != nil {
 		return nil, n.ctx.Err()
 	}
-	return n.Net.Dial(ctx, network, address)
+	c, err := n.Net.Dial(ctx, network, address)
+	if err != nil || address != storeAddress {
+		return c, err
+	}
+	return hello{c, n.name}, nil
 }
--- a/internal/standin/rows.go
+++ b/internal/standin/rows.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"net/http"
 	"slices"
 	"strconv"
@@ -159,6 +160,7 @@
 			return
 		}
 		if f.Silent {
+			io.Copy(io.Discard, r.Body) // or the server does not see the caller leave
 			<-r.Context().Done()
 			return
 		}
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -11,6 +11,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"streambend.example/code"
@@ -36,9 +37,15 @@
 // relayService is how long a stream is taken to hold its place at an engine.
 const relayService = 1500 * time.Millisecond
 
+// draw returns what chance decides by for the next attempt: the request's id and
+// how often it was sent.
+func (r *run) draw() uint64 {
+	return mix(xxhash.Sum64String(r.r.ID), uint64(r.attempts+1))
+}
+
 // need is what this request asks of routing.
 func (r *run) need() Need {
-	n := Need{Plain: !r.r.IsModel(), Avoid: r.avoid, Weigh: r.r.Service.Weigh, Policy: r.opts.Route, Settled: r.r.Unrepeatable}
+	n := Need{Plain: !r.r.IsModel(), Avoid: r.avoid, Weigh: r.r.Service.Weigh, Policy: r.opts.Route, Settled: r.r.Unrepeatable, Draw: r.draw()}
 	if n.Plain {
 		return n
 	}
--- a/request/relay.go
+++ b/request/relay.go
@@ -112,8 +112,12 @@
 	if left <= 0 {
 		return EndedUnsent, errLate
 	}
-	ctx, cancel := context.WithDeadlineCause(ctx, r.r.Deadline, errLate)
-	defer cancel()
+	ctx, cancelLate := context.WithDeadlineCause(ctx, r.r.Deadline, errLate)
+	defer cancelLate()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	dog := r.watchRelay(c, cancel)
+	defer dog.stop()
 	mark := r.sendPrompt(c)
 	resp, err := r.Client.Forward(ctx, conn.Passed{
 		Address: c.Target.Address, Method: r.r.Method, Target: r.r.Path, Host: x.Host,
@@ -122,7 +126,7 @@
 	})
 	if err != nil {
 		c.Target.backlog.Dropped(time.Now(), mark)
-		return r.endingOf(err), err
+		return r.endingOf(err), because(ctx, err)
 	}
 	defer resp.Body.Close()
 	head := x.Codec.Read(resp.StatusCode, resp.Header)
@@ -138,12 +142,65 @@
 	case resp.StatusCode < http.StatusMultipleChoices && !head.Signed:
 		return EndedBroken, errUnsigned
 	case x.Streaming && resp.StatusCode == http.StatusOK:
-		return r.passEvents(c, mark, resp)
+		ending, err := r.passEvents(c, mark, resp, dog)
+		return ending, because(ctx, err)
 	default:
 		return r.passWhole(resp, head)
 	}
 }
 
+const (
+	// answerLeast is the least time that an endpoint is given to answer before a
+	// request that may be repeated goes elsewhere.
+	answerLeast = 250 * time.Millisecond
+	// stallTimes and stallLeast tell from which pause on an endpoint is taken to
+	// have fallen silent within a stream: twice what is still in time.
+	stallTimes = 2
+	stallLeast = time.Second
+)
+
+// watchdog ends an attempt at an endpoint that has fallen silent. Without a
+// timer it watches nothing.
+type watchdog struct {
+	timer *time.Timer
+	stall time.Duration
+}
+
+func (w watchdog) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+// feed takes in that the endpoint has sent something.
+func (w watchdog) feed() {
+	if w.timer != nil {
+		w.timer.Reset(w.stall)
+	}
+}
+
+// watchRelay watches an attempt of a request that may go elsewhere. One that may
+// not is left alone until its deadline: silence proves nothing.
+func (r *run) watchRelay(c Choice, cancel context.CancelCauseFunc) watchdog {
+	x := r.r.Relay
+	if r.r.Unrepeatable || r.runs+1 >= x.Attempts {
+		return watchdog{}
+	}
+	wait := max(r.r.Route.Target.Duration, answerLeast) + c.First
+	return watchdog{
+		timer: time.AfterFunc(wait, func() { cancel(errSilent) }),
+		stall: max(stallTimes*x.Pause, stallLeast),
+	}
+}
+
+// because returns why a context has ended an attempt, or the attempt's error.
+func because(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); err != nil && cause != nil {
+		return cause
+	}
+	return err
+}
+
 // sendPrompt counts a prompt to its engine's backlog, here and at the others.
 func (r *run) sendPrompt(c Choice) Mark {
 	x := r.r.Relay
@@ -209,13 +266,14 @@
 
 // passEvents passes a stream on event by event. The head goes out with the
 // first event, so that until then the request can still go elsewhere.
-func (r *run) passEvents(c Choice, mark Mark, resp *http.Response) (Ending, error) {
+func (r *run) passEvents(c Choice, mark Mark, resp *http.Response, dog watchdog) (Ending, error) {
 	x := r.r.Relay
 	first := true
 	events := conn.NewEvents(resp.Body)
 	flush := http.NewResponseController(x.Out)
 	for {
 		ev, err := events.Next()
+		dog.feed()
 		if err == io.EOF {
 			if !x.head {
 				x.writeHead(resp.StatusCode, resp.Header)
--- a/request/route.go
+++ b/request/route.go
@@ -4,7 +4,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"time"
 
 	"streambend.example/version"
@@ -31,6 +30,7 @@
 	Policy      RoutePolicy
 	PrefillRate float64       // prompt tokens a second, measured
 	Service     time.Duration // time a request spends at an endpoint, measured
+	Draw        uint64        // what chance decides by, so that a seed gives the same choices
 	Parts       []Part        // of the prompt, where they are known
 	Pause       time.Duration // the longest pause of a stream that is in time; 0 if not known
 }
@@ -102,8 +102,14 @@
 	return float64(t.load.Load()) / math.Max(r, rampStart)
 }
 
+// secondDraw makes a second number of a draw.
+const secondDraw = 0x5bd1e995
+
+// pick returns a number below n that a draw decides.
+func pick(draw uint64, n int) int { return int(mix(draw, uint64(n)) % uint64(n)) }
+
 func chooseRandom(all []*Target, n Need) (Choice, bool) {
-	start := rand.IntN(len(all))
+	start := pick(n.Draw, len(all))
 	for i := range all {
 		if t := all[(start+i)%len(all)]; t.open(n) {
 			return Choice{Target: t, Load: int(t.load.Load()), Why: "random"}, true
@@ -114,7 +120,7 @@
 
 func chooseLeast(all []*Target, n Need, why string) (Choice, bool) {
 	var best *Target
-	start := rand.IntN(len(all))
+	start := pick(n.Draw, len(all))
 	for i := range all {
 		t := all[(start+i)%len(all)]
 		if t.open(n) && (best == nil || t.weighted() < best.weighted()) {
@@ -185,7 +191,7 @@
 	if len(ts) == 0 {
 		return nil
 	}
-	a, b := ts[rand.IntN(len(ts))], ts[rand.IntN(len(ts))]
+	a, b := ts[pick(n.Draw, len(ts))], ts[pick(mix(n.Draw, secondDraw), len(ts))]
 	switch {
 	case !a.open(n) && !b.open(n):
 		return nil
--- a/request/settle.go
+++ b/request/settle.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"github.com/pkg/errors"
@@ -151,7 +150,7 @@
 	}
 	select {
 	case <-ctx.Done():
-	case <-time.After(backoff/2 + time.Duration(rand.Int64N(int64(backoff)/2+1))):
+	case <-time.After(backoff/2 + time.Duration(pick(r.draw(), int(backoff)/2+1))):
 	}
 }
 
