entry: one daemon a zone reads the store for the others; hand the duties' lease over when the store fails its holder

Now a holder that the store fails gives the lease up by a word to the others, and only a daemon that may have acted shortly before waits.

--- a/conn/member.go
+++ b/conn/member.go
@@ -78,6 +78,7 @@
 	Loads   []LoadClass     `codec:"l,omitempty"`
 	Demands []Demand        `codec:"d,omitempty"`
 	Tallies []Tally         `codec:"t,omitempty"`
+	Freed   int64           `codec:"f,omitempty"` // epoch of the duties' lease whose holder acts no more
 	Sends   []byte          `codec:"x,omitempty"` // prompts sent to engines, in the form of their package
 }
 
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -66,6 +66,7 @@
 	peers    *http.Server
 	stopping atomic.Bool
 	ready    atomic.Bool
+	asked    int // rounds of questions to other daemons; of one goroutine
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -89,7 +90,7 @@
 	d.table = &platform.Table{Store: d.store, Name: ownTable}
 	d.cloud = platform.NewCloud(site.Cloud, d.outside)
 	d.catalog.d = d
-	d.runners = runnerKeeper{d: d, byID: make(map[string]platform.Runner), missing: make(map[string]bool)}
+	d.runners = runnerKeeper{d: d, byID: make(map[string]platform.Runner), rows: make(map[string][]byte), missing: make(map[string]bool)}
 	d.tallies = NewTallies(d.Self)
 	d.sends.wake = make(chan struct{}, 1)
 	d.Server = request.NewServer(d.options(), conn.NewClient(n, defaultBody), nil, nil, log)
@@ -207,7 +208,7 @@
 		d.runners.tick(now)
 		d.judgeReady(now)
 	})
-	d.every(peerPause, func(now time.Time) { d.catalog.askPeers(d.ctx, now) })
+	d.every(peerPause, func(now time.Time) { d.askPeers(d.ctx, now) })
 	d.every(gossipPeriod, d.gossip)
 	d.run(func() { d.tellSends(d.ctx) })
 	d.every(resendPeriod, func(now time.Time) {
@@ -229,6 +230,9 @@
 
 // take takes in what a link has brought.
 func (d *Daemon) take(now time.Time, in conn.Delivery) {
+	if in.Payload.Freed > 0 {
+		d.duties.hearFreed(in.Payload.Freed)
+	}
 	if len(in.Payload.Sends) > 0 {
 		d.hearSends(now, in)
 	}
@@ -249,7 +253,7 @@
 // answer answers another daemon's question.
 func (d *Daemon) answer(_ context.Context, _, kind string, body []byte) ([]byte, error) {
 	if kind == askFresh {
-		return d.catalog.answerFresh(body)
+		return d.answerFresh(body)
 	}
 	return nil, errors.Errorf("entry: no question %q", kind)
 }
@@ -290,8 +294,8 @@
 	return at.UnixNano() / d.Site.Bounds.UsageWindow.Nanoseconds()
 }
 
-// instance names this start of the daemon.
-func (d *Daemon) instance() string { return fmt.Sprintf("%s#%d", d.Self.Name, d.Self.Start) }
+// instanceOf names a start of a daemon.
+func instanceOf(m conn.Member) string { return fmt.Sprintf("%s#%d", m.Name, m.Start) }
 
 // storeFailed notes that the store did not answer.
 func (d *Daemon) storeFailed(now time.Time) { d.runners.storeFailed(now) }
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -4,10 +4,12 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
+	"streambend.example/conn"
 	"streambend.example/platform"
 	"streambend.example/version"
 )
@@ -18,12 +20,19 @@
 	// dutyTerm is the term of the lease: it outlasts a slow store's renewal, and
 	// leaves a successor time for a report that is due in 10 s.
 	dutyTerm = 4 * time.Second
-	// dutyMargin is how long before its end a holder stops to act.
-	dutyMargin = 500 * time.Millisecond
+	// dutyMargin is how long before its end a holder stops to act: its last call
+	// has arrived, or is lost, when the next holder begins.
+	dutyMargin = 1200 * time.Millisecond
 	// dutyPeriod is how often the holder renews and others look, dutyStep how
 	// often the holder looks for work.
 	dutyPeriod = 1300 * time.Millisecond
 	dutyStep   = 250 * time.Millisecond
+	// dutyWatch is how often the others look at a lease whose holder they know
+	// to be alive.
+	dutyWatch = 5 * time.Second
+	// dutyPatience is how long the store may fail a holder until it leaves the
+	// duties to others: within it falls the next renewal.
+	dutyPatience = time.Second
 	// dutyCall bounds a call to the cloud API.
 	dutyCall = 1500 * time.Millisecond
 )
@@ -36,11 +45,15 @@
 	scale scaleDuty
 
 	held    bool
-	actFrom time.Time // earlier, calls of the holder before may still arrive
+	failing time.Time    // since when renewals fail; zero while they do not
+	began   time.Time    // of this process
+	acted   time.Time    // the last call that this process has made
+	actFrom time.Time    // earlier, this daemon might be seen to alternate with another
+	freed   atomic.Int64 // epoch whose holder has said that it acts no more
 }
 
 func newDuties(d *Daemon) *duties {
-	x := &duties{d: d, lease: version.Lease{Shard: dutyShard, Self: d.instance(), Term: dutyTerm, Margin: dutyMargin}}
+	x := &duties{d: d, lease: version.Lease{Shard: dutyShard, Self: instanceOf(d.Self), Term: dutyTerm, Margin: dutyMargin}, began: time.Now()}
 	x.usage = usageDuty{d: d, done: make(map[int64]bool)}
 	x.scale = newScaleDuty(d)
 	return x
@@ -54,7 +67,7 @@
 	var renewed time.Time
 	for ctx.Err() == nil {
 		now := time.Now()
-		if now.Sub(renewed) >= dutyPeriod && !x.d.stopping.Load() {
+		if now.Sub(renewed) >= x.period() && !x.d.stopping.Load() {
 			renewed = now
 			x.step(ctx, now)
 		}
@@ -65,29 +78,86 @@
 	}
 }
 
+// period is how long after a look at the lease the next is due.
+func (x *duties) period() time.Duration {
+	holder := x.lease.Holder()
+	if x.held || holder.Holder == "" || holder.Free || x.freed.Load() >= holder.Epoch {
+		return dutyPeriod
+	}
+	for _, m := range x.d.others() {
+		if m.Name == nodeOf(holder.Holder) && m.State == conn.MemberAlive && instanceOf(m) == holder.Holder {
+			return dutyWatch
+		}
+	}
+	return dutyPeriod
+}
+
+// hearFreed takes in that the holder of an epoch acts no more.
+func (x *duties) hearFreed(epoch int64) {
+	if x.freed.Load() < epoch {
+		x.freed.Store(epoch)
+	}
+}
+
 // step renews the lease, or takes it.
 func (x *duties) step(ctx context.Context, now time.Time) {
 	before := x.lease.Holder()
+	x.lease.Abandoned = x.freed.Load()
 	call, cancel := context.WithTimeout(ctx, answerLimit)
 	err := x.lease.Step(call, now, x.d.table)
 	cancel()
 	epoch, held := x.lease.Held(time.Now())
 	fields := logrus.Fields{"part": "duties", "epoch": epoch, "holder": x.lease.Holder().Holder}
 	if held && !x.held {
-		x.actFrom = time.Time{}
-		if before.Holder != "" && nodeOf(before.Holder) != x.d.Self.Name {
-			x.actFrom = time.Now().Add(x.d.Site.Bounds.Lease)
-		}
+		x.actFrom = x.mayAlternate(before.Holder)
 		x.usage.begin(time.Now())
 		x.scale.begin()
 		x.d.log.WithFields(fields).Infof("lease taken, held before by %q", before.Holder)
 	}
+	if err != nil && held {
+		if x.failing.IsZero() {
+			x.failing = now
+		}
+		if now.Sub(x.failing) >= dutyPatience && len(x.d.others()) > 0 {
+			x.giveUp(time.Now())
+			held = false
+		}
+	} else {
+		x.failing = time.Time{}
+	}
 	if !held && x.held {
 		x.d.log.WithFields(fields).Warnf("lease lost: %v", err)
 	}
 	x.held = held
 }
 
+// mayAlternate returns from when on this daemon may act after another: three
+// calls in turn by it, the other and it again must not fall within the bound. A
+// process that has just begun does not know when its daemon acted last.
+func (x *duties) mayAlternate(before string) time.Time {
+	if before == "" || nodeOf(before) == x.d.Self.Name {
+		return time.Time{}
+	}
+	last := x.began
+	if x.acted.After(last) {
+		last = x.acted
+	}
+	return last.Add(x.d.Site.Bounds.Lease)
+}
+
+// giveUp ends the term of a holder that the store does not answer, and tells the
+// others, so that one which it answers need not wait the term out.
+func (x *duties) giveUp(now time.Time) {
+	epoch, held := x.lease.Held(now)
+	if !held {
+		return
+	}
+	x.lease.Drop()
+	x.held = false
+	x.d.log.WithFields(logrus.Fields{"part": "duties", "epoch": epoch}).Warn("lease given up, the store does not answer")
+	x.d.Hub.Tell(conn.Payload{Freed: epoch})
+}
+
 // nodeOf returns the daemon's name in the name of one of its starts.
 func nodeOf(instance string) string {
 	for i := len(instance) - 1; i >= 0; i-- {
@@ -104,6 +174,7 @@
 	if !held || now.Before(x.actFrom) || x.d.stopping.Load() {
 		return platform.Fence{}, false
 	}
+	x.acted = now
 	return platform.Fence{Holder: x.d.Self.Name, Token: epoch}, true
 }
 
--- /dev/null
+++ b/entry/feeder.go
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"streambend.example/platform"
+)
+
+// feeder follows the changes of one table.
+type feeder struct {
+	d     *Daemon
+	table string
+	wait  time.Duration
+	name  string // for the log
+}
+
+// run hands each answer to take until ctx ends: whole is true for all rows of
+// the table, false for those that have changed. It rests while other daemons
+// read for this one; known is the version that they have brought it to.
+func (f *feeder) run(ctx context.Context, known func() int64, take func(now, sent time.Time, p platform.Page, whole bool) error) {
+	var at int64
+	whole, up := true, true
+	pause := firstPause
+	for ctx.Err() == nil {
+		if !f.d.readsStore(time.Now()) {
+			sleep(ctx, idlePause)
+			continue
+		}
+		if v := known(); v > at {
+			at, whole = v, false
+		}
+		sent := time.Now()
+		p, err := f.ask(ctx, at, whole)
+		now := time.Now()
+		if err == nil {
+			err = take(now, sent, p, whole)
+		}
+		if err == nil {
+			at, whole, pause = p.Version, false, firstPause
+			if !up {
+				up = true
+				f.d.log.WithFields(logrus.Fields{"part": f.name, "version": at}).Info("store regained")
+			}
+			continue
+		}
+		if errors.Is(err, platform.ErrHistoryGone) {
+			whole = true
+			f.d.log.WithFields(logrus.Fields{"part": f.name, "version": at}).Info("store has dropped its history, reading anew")
+			continue
+		}
+		if up && ctx.Err() == nil {
+			up = false
+			f.d.log.WithFields(logrus.Fields{"part": f.name, "version": at}).Warnf("store lost: %v", err)
+		}
+		f.d.storeFailed(now)
+		sleep(ctx, pause/2+rand.N(pause/2+1))
+		pause = min(2*pause, lastPause)
+	}
+}
+
+func (f *feeder) ask(ctx context.Context, at int64, whole bool) (platform.Page, error) {
+	if !whole {
+		ctx, cancel := context.WithTimeout(ctx, f.wait+answerLimit)
+		defer cancel()
+		return f.d.store.Feed(ctx, f.table, at, f.wait)
+	}
+	ctx, cancel := context.WithTimeout(ctx, 2*answerLimit)
+	defer cancel()
+	all, err := f.d.store.Rows(ctx, f.table, "", "")
+	for more := all; err == nil && more.More && len(more.Rows) > 0; {
+		more, err = f.d.store.Rows(ctx, f.table, "", more.Rows[len(more.Rows)-1].Key+"\x00")
+		all.Rows = append(all.Rows, more.Rows...)
+	}
+	return all, err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,161 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"streambend.example/conn"
+	"streambend.example/platform"
+)
+
+const (
+	// peerPause is the time between two questions to other daemons for what they
+	// have read of the store.
+	peerPause = 300 * time.Millisecond
+	// peerAge is the age of the catalog from which a daemon reads the store
+	// itself although others should do so for it.
+	peerAge = 1500 * time.Millisecond
+	// peerLimit is how long an answer may take.
+	peerLimit = 700 * time.Millisecond
+)
+
+// askFresh is the question between daemons for what the store holds.
+const askFresh = "fresh"
+
+// freshQuestion says what the asker has.
+type freshQuestion struct {
+	Catalog int64 `codec:"c"` // version of its catalog
+	Runners int64 `codec:"r"` // the store's version of its endpoints
+}
+
+// freshAnswer brings the asker up to the answerer's state.
+type freshAnswer struct {
+	Known   bool          `codec:"k"`
+	Age     time.Duration `codec:"a"` // of the answerer's knowledge
+	Catalog int64         `codec:"c"`
+	Value   []byte        `codec:"v,omitempty"` // the catalog, if newer
+	Runners int64         `codec:"r"`
+	Changed bool          `codec:"h,omitempty"` // the endpoints have changed since the asker's version
+	Entries []entryRow    `codec:"e,omitempty"` // all of them, if so
+}
+
+type entryRow struct {
+	ID    string `codec:"i"`
+	Value []byte `codec:"v"`
+}
+
+// Reader returns the daemon of a zone that reads the store for the others, by
+// rendezvous, or false if the zone has none.
+func Reader(zone string, members []conn.Member) (conn.Member, bool) {
+	var best conn.Member
+	var most uint64
+	for _, m := range members {
+		if m.Zone != zone || m.State != conn.MemberAlive {
+			continue
+		}
+		if h := xxhash.Sum64String(m.Name) | 1; h > most {
+			best, most = m, h
+		}
+	}
+	return best, most > 0
+}
+
+// readsStore reports whether this daemon reads the store itself: it is its
+// zone's reader, or what it hears from others is too old.
+func (d *Daemon) readsStore(now time.Time) bool {
+	if age, ok := d.catalog.fresh.Age(now); !ok || age > peerAge || !d.runners.known() {
+		return true
+	}
+	r, ok := Reader(d.Self.Zone, d.Hub.Mesh.Members())
+	return !ok || r.Name == d.Self.Name
+}
+
+// askPeers asks another daemon, unless this one reads the store with success.
+func (d *Daemon) askPeers(ctx context.Context, now time.Time) {
+	age, ok := d.catalog.fresh.Age(now)
+	r, found := Reader(d.Self.Zone, d.Hub.Mesh.Members())
+	if found && r.Name == d.Self.Name && ok && age < peerAge {
+		return
+	}
+	if ok && age < peerAge && found {
+		d.run(func() { d.askPeer(ctx, r.Name) })
+		return
+	}
+	others := d.others()
+	if len(others) == 0 {
+		return
+	}
+	// Each in turn: whoever is cut off may be so with its zone.
+	d.asked++
+	m := others[d.asked%len(others)]
+	d.run(func() { d.askPeer(ctx, m.Name) })
+}
+
+func (d *Daemon) askPeer(ctx context.Context, name string) {
+	ctx, cancel := context.WithTimeout(ctx, peerLimit)
+	defer cancel()
+	q := freshQuestion{Runners: d.runners.current()}
+	if c := d.catalog.get(); c != nil {
+		q.Catalog = c.Version
+	}
+	sent := time.Now()
+	b, err := d.Hub.Ask(ctx, name, askFresh, conn.Marshal(q))
+	if err != nil {
+		return // the next round asks again, or another
+	}
+	var a freshAnswer
+	if err := conn.Unmarshal(b, &a); err != nil {
+		d.log.WithField("part", "peers").Warnf("answer of %s: %v", name, err)
+		return
+	}
+	if a.Known {
+		d.takeFresh(sent, name, a)
+	}
+}
+
+func (d *Daemon) takeFresh(sent time.Time, name string, a freshAnswer) {
+	if len(a.Value) > 0 {
+		if err := d.catalog.adopt(a.Value, name); err != nil {
+			d.log.WithField("part", "catalog").Warnf("catalog of %s: %v", name, err)
+			return
+		}
+	}
+	if a.Runners > d.runners.current() {
+		rows := make([]platform.Row, 0, len(a.Entries))
+		for _, e := range a.Entries {
+			rows = append(rows, platform.Row{Table: platform.RunnerTable, Key: e.ID, Value: e.Value})
+		}
+		d.runners.take(time.Now(), a.Runners, rows, a.Changed)
+	}
+	if c := d.catalog.get(); c != nil && c.Version >= a.Catalog {
+		d.catalog.fresh.Peer(sent, a.Age)
+	}
+}
+
+// answerFresh answers another daemon's question.
+func (d *Daemon) answerFresh(body []byte) ([]byte, error) {
+	var q freshQuestion
+	if err := conn.Unmarshal(body, &q); err != nil {
+		return nil, err
+	}
+	age, ok := d.catalog.fresh.Age(time.Now()) // before the state is read, so that it is not newer than that
+	f := d.catalog.cur.Load()
+	if f == nil || !ok || !d.runners.known() {
+		return conn.Marshal(freshAnswer{}), nil
+	}
+	a := freshAnswer{Known: true, Age: age, Catalog: f.catalog.Version}
+	if a.Catalog > q.Catalog {
+		a.Value = f.value
+	}
+	var rows []platform.Row
+	a.Runners, rows = d.runners.since(q.Runners)
+	a.Changed = rows != nil
+	for _, r := range rows {
+		a.Entries = append(a.Entries, entryRow{r.Key, r.Value})
+	}
+	return conn.Marshal(a), nil
+}
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -28,26 +28,36 @@
 	d *Daemon
 
 	mu       sync.Mutex
+	version  int64 // of the store, up to which the list is complete
+	changed  int64 // of the store, at which the list was last found changed
 	byID     map[string]platform.Runner
-	missing  map[string]bool // entries that went while the store was away
-	readAt   time.Time       // of the first whole list; zero before
-	failedAt time.Time       // the last time the store did not answer
+	rows     map[string][]byte // their entries, for other daemons
+	missing  map[string]bool   // entries that went while the store was away
+	readAt   time.Time         // of the first whole list; zero before
+	failedAt time.Time         // the last time the store did not answer
 }
 
 // follow keeps up with the store until ctx ends.
 func (k *runnerKeeper) follow(ctx context.Context) {
 	f := feeder{d: k.d, table: platform.RunnerTable, wait: runnerWait, name: "endpoints"}
-	f.run(ctx, func(now, _ time.Time, p platform.Page, whole bool) error {
-		k.take(now, p.Rows, whole)
+	f.run(ctx, k.current, func(now, _ time.Time, p platform.Page, whole bool) error {
+		k.take(now, p.Version, p.Rows, whole)
 		return nil
 	})
 }
 
 // take takes rows in. An entry that is gone right after an outage of the store
 // is held a while.
-func (k *runnerKeeper) take(now time.Time, rows []platform.Row, whole bool) {
+func (k *runnerKeeper) take(now time.Time, version int64, rows []platform.Row, whole bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if version < k.version {
+		return // other daemons have brought us further meanwhile
+	}
+	k.version = version
+	if len(rows) > 0 || whole {
+		k.changed = version
+	}
 	there := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		if row.Part != "" {
@@ -63,6 +73,7 @@
 			continue
 		}
 		there[r.ID] = true
+		k.rows[r.ID] = row.Value
 		k.set(now, r)
 	}
 	if whole {
@@ -119,6 +130,7 @@
 
 func (k *runnerKeeper) drop(id string, r platform.Runner) {
 	delete(k.byID, id)
+	delete(k.rows, id)
 	delete(k.missing, id)
 	k.d.work(r.Service).Pool.Forget(id)
 	k.d.log.WithFields(logrus.Fields{"part": "endpoints", "endpoint": id, "service": r.Service}).Info("endpoint gone")
@@ -143,6 +155,28 @@
 	k.failedAt = now
 }
 
+// current returns the version of the store up to which the list is complete.
+func (k *runnerKeeper) current() int64 {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.version
+}
+
+// since returns all entries, if any has changed after a version, and the version
+// up to which they are complete.
+func (k *runnerKeeper) since(version int64) (int64, []platform.Row) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.changed <= version {
+		return k.version, nil
+	}
+	out := make([]platform.Row, 0, len(k.rows))
+	for id, v := range k.rows {
+		out = append(out, platform.Row{Table: platform.RunnerTable, Key: id, Value: v})
+	}
+	return k.version, out
+}
+
 // known reports whether the endpoints have been read once.
 func (k *runnerKeeper) known() bool {
 	k.mu.Lock()
--- a/entry/scale.go
+++ b/entry/scale.go
@@ -24,6 +24,8 @@
 	orderAgain = 6 * time.Second
 	// drySpell is how long after a refusal a kind in a zone is asked for again.
 	drySpell = 1500 * time.Millisecond
+	// dryMost is what that time grows to while refusals go on.
+	dryMost = 5 * time.Second
 	// countAfter is how long after the first list of endpoints they are counted:
 	// each writes itself to the store once a heartbeat, and all were just started
 	// where the daemons were.
@@ -144,6 +146,7 @@
 	base    map[string]int
 	ordered map[ScaleKind]scaleOrdered
 	refused map[ScaleKind]time.Time
+	spell   map[ScaleKind]time.Duration // since the last refusal in a row
 	demand  demand
 	spare   time.Time // since when there are too many dear endpoints
 }
@@ -208,7 +211,7 @@
 			x.d.log.WithFields(logrus.Fields{"part": "scale", "service": b.Name}).Warnf("first numbers: %v", err)
 			return
 		}
-		s = &serviceScale{base: base, ordered: make(map[ScaleKind]scaleOrdered), refused: make(map[ScaleKind]time.Time)}
+		s = &serviceScale{base: base, ordered: make(map[ScaleKind]scaleOrdered), refused: make(map[ScaleKind]time.Time), spell: make(map[ScaleKind]time.Duration)}
 		x.state[b.Name] = s
 	}
 	now := time.Now()
@@ -292,11 +295,13 @@
 	now := time.Now()
 	fields := logrus.Fields{"part": "scale", "service": service, "zone": o.Zone, "reclaimable": o.Reclaimable, "count": o.Count, "fence": f.Token}
 	if err != nil {
-		s.refused[o.ScaleKind] = now.Add(drySpell)
+		s.spell[o.ScaleKind] = min(max(2*s.spell[o.ScaleKind], drySpell), dryMost)
+		s.refused[o.ScaleKind] = now.Add(s.spell[o.ScaleKind])
 		delete(s.ordered, o.ScaleKind)
 		x.d.log.WithFields(fields).Infof("not ordered: %v", err)
 		return
 	}
+	delete(s.spell, o.ScaleKind)
 	s.ordered[o.ScaleKind] = scaleOrdered{o.Count, now}
 	x.d.log.WithFields(fields).Info("ordered")
 }
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -19,7 +19,7 @@
 	// usageSettle is how long after a window its report is made: the tallies of
 	// all daemons are here by then, and a report that fails has time to be sent
 	// again before it is late.
-	usageSettle = 2500 * time.Millisecond
+	usageSettle = 1800 * time.Millisecond
 	// usageBack is how many windows before the present a new holder looks at.
 	usageBack = 3
 	// usageKept is how many windows back rows are left in the store.
--- a/version/lease.go
+++ b/version/lease.go
@@ -44,6 +44,10 @@
 	Term   time.Duration
 	Margin time.Duration // the holder stops this long before its term ends
 
+	// Abandoned is an epoch whose holder has said, by another way than the
+	// table, that it acts no more.
+	Abandoned int64
+
 	row       LeaseRow
 	rev       int64
 	seen      time.Time // a moment after rev was first read; zero until the next step
@@ -87,7 +91,8 @@
 		return l.row, true
 	}
 	stale := !l.seen.IsZero() && now.Sub(l.seen) >= l.Term
-	if l.rev == 0 || l.row.Free || l.row.Holder == l.Self || stale {
+	left := l.row.Epoch > 0 && l.row.Epoch <= l.Abandoned
+	if l.rev == 0 || l.row.Free || left || l.row.Holder == l.Self || stale {
 		return LeaseRow{Holder: l.Self, Epoch: l.row.Epoch + 1}, true
 	}
 	return LeaseRow{}, false
