entry: an outage of a zone's reader holds nobody else up

Ruled out: the feeds (the removal was read within 20 ms by all zones whose reader was not turned away). Held entries are no more passed on, the others read for themselves while their reader fails, and the hold is 1.8 s.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -61,12 +61,14 @@
 	meters  *meters
 	outside *http.Client // towards store and cloud
 
-	callers  *http.Server
-	checks   *http.Server
-	peers    *http.Server
-	stopping atomic.Bool
-	ready    atomic.Bool
-	asked    int // rounds of questions to other daemons; of one goroutine
+	callers    *http.Server
+	checks     *http.Server
+	peers      *http.Server
+	stopping   atomic.Bool
+	ready      atomic.Bool
+	feedsDown  atomic.Int32 // feeds of the store that fail now
+	readerDown atomic.Bool  // the zone's reader has said that its feeds fail, or does not answer
+	asked      int          // rounds of questions to other daemons; of one goroutine
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/entry/feeder.go
+++ b/entry/feeder.go
@@ -46,6 +46,7 @@
 			at, whole, pause = p.Version, false, firstPause
 			if !up {
 				up = true
+				f.d.feedsDown.Add(-1)
 				f.d.log.WithFields(logrus.Fields{"part": f.name, "version": at}).Info("store regained")
 			}
 			continue
@@ -57,6 +58,7 @@
 		}
 		if up && ctx.Err() == nil {
 			up = false
+			f.d.feedsDown.Add(1)
 			f.d.log.WithFields(logrus.Fields{"part": f.name, "version": at}).Warnf("store lost: %v", err)
 		}
 		f.d.storeFailed(now)
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -35,7 +35,8 @@
 // freshAnswer brings the asker up to the answerer's state.
 type freshAnswer struct {
 	Known   bool          `codec:"k"`
-	Age     time.Duration `codec:"a"` // of the answerer's knowledge
+	Failing bool          `codec:"f,omitempty"` // the answerer reads the store, and it fails
+	Age     time.Duration `codec:"a"`           // of the answerer's knowledge
 	Catalog int64         `codec:"c"`
 	Value   []byte        `codec:"v,omitempty"` // the catalog, if newer
 	Runners int64         `codec:"r"`
@@ -67,7 +68,7 @@
 // readsStore reports whether this daemon reads the store itself: it is its
 // zone's reader, or what it hears from others is too old.
 func (d *Daemon) readsStore(now time.Time) bool {
-	if age, ok := d.catalog.fresh.Age(now); !ok || age > peerAge || !d.runners.known() {
+	if age, ok := d.catalog.fresh.Age(now); !ok || age > peerAge || !d.runners.known() || d.readerDown.Load() {
 		return true
 	}
 	r, ok := Reader(d.Self.Zone, d.Hub.Mesh.Members())
@@ -82,7 +83,7 @@
 		return
 	}
 	if ok && age < peerAge && found {
-		d.run(func() { d.askPeer(ctx, r.Name) })
+		d.run(func() { d.readerDown.Store(!d.askPeer(ctx, r.Name)) })
 		return
 	}
 	others := d.others()
@@ -95,7 +96,8 @@
 	d.run(func() { d.askPeer(ctx, m.Name) })
 }
 
-func (d *Daemon) askPeer(ctx context.Context, name string) {
+// askPeer asks one daemon, and reports whether it reads the store with success.
+func (d *Daemon) askPeer(ctx context.Context, name string) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerLimit)
 	defer cancel()
 	q := freshQuestion{Runners: d.runners.current()}
@@ -105,16 +107,17 @@
 	sent := time.Now()
 	b, err := d.Hub.Ask(ctx, name, askFresh, conn.Marshal(q))
 	if err != nil {
-		return // the next round asks again, or another
+		return false // the next round asks again, or another
 	}
 	var a freshAnswer
 	if err := conn.Unmarshal(b, &a); err != nil {
 		d.log.WithField("part", "peers").Warnf("answer of %s: %v", name, err)
-		return
+		return false
 	}
 	if a.Known {
 		d.takeFresh(sent, name, a)
 	}
+	return a.Known && !a.Failing
 }
 
 func (d *Daemon) takeFresh(sent time.Time, name string, a freshAnswer) {
@@ -147,7 +150,7 @@
 	if f == nil || !ok || !d.runners.known() {
 		return conn.Marshal(freshAnswer{}), nil
 	}
-	a := freshAnswer{Known: true, Age: age, Catalog: f.catalog.Version}
+	a := freshAnswer{Known: true, Failing: d.feedsDown.Load() > 0, Age: age, Catalog: f.catalog.Version}
 	if a.Catalog > q.Catalog {
 		a.Value = f.value
 	}
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -20,7 +20,7 @@
 	runnerWait = 1500 * time.Millisecond
 	// lapseHold is how long after the store's return an endpoint whose entry is
 	// missing is still used: entries that lapsed meanwhile are back by then.
-	lapseHold = 2200 * time.Millisecond
+	lapseHold = 1800 * time.Millisecond
 )
 
 // runnerKeeper keeps the pools in line with the endpoints' entries in the store.
@@ -123,6 +123,7 @@
 			k.d.log.WithFields(logrus.Fields{"part": "endpoints", "endpoint": id}).Info("entry missing after an outage, held")
 		}
 		k.missing[id] = true
+		delete(k.rows, id) // whoever has had no outage need not hold it
 		return
 	}
 	k.drop(id, r)
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -215,7 +215,7 @@
 		r1 := w.runner(plain, "a", "i-1", 0)
 		w.runner(plain, "a", "i-2", 0)
 		w.store.Put(platform.RunnerTable, "", "i-1", r1.Entry(plain, "a", "draining"))
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(500 * time.Millisecond) // the store's word comes to the zone's reader, then to the others
 		for i := range 10 {
 			assert.Equal(t, http.StatusOK, w.ask(i%2, http.MethodPost, "/write/", fmt.Sprint("id-", i)).status)
 		}
--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"streambend.example/entry"
 	"streambend.example/internal/standin"
 	"streambend.example/platform"
 )
@@ -239,3 +240,29 @@
 		assert.Less(t, <-stopped, 8*time.Second)
 	})
 }
+
+func TestAnOutageOfOneReaderHoldsNobodyElseUp(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		r := w.runner(plain, "a", "i-1", 0)
+		w.runner(plain, "a", "i-2", 0)
+		time.Sleep(2 * time.Second)
+		reader, ok := entry.Reader("a", w.daemons[0].Hub.Mesh.Members())
+		require.True(t, ok)
+		w.store.SetFault(standin.RowsFault{Away: map[string]bool{reader.Name: true}})
+		time.Sleep(time.Second)
+		w.store.Drop(platform.RunnerTable, "", "i-1")
+		time.Sleep(200 * time.Millisecond)
+		w.store.SetFault(standin.RowsFault{})
+		time.Sleep(1500 * time.Millisecond)
+		before := len(r.Ran())
+		for i, d := range w.daemons {
+			if d.Self.Name == reader.Name {
+				continue
+			}
+			for n := range 8 {
+				w.ask(i, http.MethodPost, "/write/", fmt.Sprint("id-", i, "-", n))
+			}
+		}
+		assert.Len(t, r.Ran(), before, "its entry went while only the reader was turned away")
+	})
+}
