--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -249,11 +249,11 @@
 		reader, ok := entry.Reader("a", w.daemons[0].Hub.Mesh.Members())
 		require.True(t, ok)
 		w.store.SetFault(standin.RowsFault{Away: map[string]bool{reader.Name: true}})
-		time.Sleep(time.Second)
+		time.Sleep(50 * time.Millisecond)
 		w.store.Drop(platform.RunnerTable, "", "i-1")
-		time.Sleep(200 * time.Millisecond)
+		time.Sleep(50 * time.Millisecond)
 		w.store.SetFault(standin.RowsFault{})
-		time.Sleep(1500 * time.Millisecond)
+		time.Sleep(time.Second)
 		before := len(r.Ran())
 		for i, d := range w.daemons {
 			if d.Self.Name == reader.Name {
--- a/internal/standin/rows.go
+++ b/internal/standin/rows.go
@@ -93,6 +93,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fault = f
+	s.notify() // questions that are held are answered by the new fault
+}
+
+// turnsAway reports whether a caller gets 503; the caller holds the lock.
+func (s *Rows) turnsAway(r *http.Request) bool {
+	return s.fault.Busy || s.fault.Away[r.Header.Get(daemonHeader)]
 }
 
 // Calls returns how often a path was called.
@@ -154,8 +160,9 @@
 		s.mu.Lock()
 		f := s.fault
 		s.calls[r.URL.Path]++
+		away := s.turnsAway(r)
 		s.mu.Unlock()
-		if f.Busy || f.Away[r.Header.Get(daemonHeader)] {
+		if away {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
@@ -210,10 +217,13 @@
 	for {
 		s.mu.Lock()
 		wake := s.wake
-		gone := after < s.forgot
+		gone, away := after < s.forgot, s.turnsAway(r)
 		rows := s.changes(q.Get("table"), after)
 		p := s.page(rows)
 		s.mu.Unlock()
+		if away {
+			return http.StatusServiceUnavailable, nil
+		}
 		if gone {
 			return http.StatusGone, nil
 		}
