trial: put planted faults in through seams, from test files

The product imports nothing of internal/ any more: what follows an attempt is a policy value (Options.Judge), engines, platform and planned stops have seams in the trial. Routing draws chance from the request's id, which the trial's callers now name, and a trial that fails ends its callers first, so that a failure reads as one line instead of a panic that takes the package's verdict with it.

--- a/conn/member.go
+++ b/conn/member.go
@@ -86,8 +86,8 @@
 // so that the newest word of a daemon holds all earlier ones.
 type Tally struct {
 	Daemon  string                   `codec:"d"`
-	Start   int64                    `codec:"i"` // of the daemon, as in Member
-	Seq     uint64                   `codec:"s"` // rises with each change
+	Start   int64                    `codec:"i"`           // of the daemon, as in Member
+	Seq     uint64                   `codec:"s"`           // rises with each change
 	Admit   map[string]int64         `codec:"a,omitempty"` // units of its limit that each team was admitted
 	Windows map[int64]map[string]int `codec:"w,omitempty"` // requests of each team begun in a usage window
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -35,6 +35,7 @@
 	BlackHole  bool // takes requests and never answers
 	Refuse     bool // answers 503 before starting
 	SlowTimes  int  // takes so many times as long for each token
+	Repeat     bool // begins a prompt of token ids by sending its last token again
 }
 
 // Engine is a model engine with continuous batching.
--- a/internal/standin/serve.go
+++ b/internal/standin/serve.go
@@ -73,6 +73,12 @@
 	return Tokens(text)
 }
 
+// continues reports whether the prompt is given as token ids.
+func (b *completionBody) continues() bool {
+	var ids []int
+	return json.Unmarshal(b.Prompt, &ids) == nil && len(ids) > 0
+}
+
 // ChatPrompt is the text that a chat of one message is rendered to.
 func ChatPrompt(role, content string) string {
 	return chatText([]chatMessage{{Role: role, Content: content}})
@@ -134,6 +140,10 @@
 		n = n / 2
 	}
 	context := len(tokens)
+	if f.Repeat && body.continues() && n > 0 {
+		out.token(tokens[len(tokens)-1], tokens)
+		n--
+	}
 	for i := range n {
 		if f.CutAfter > 0 && i == f.CutAfter {
 			panic(http.ErrAbortHandler)
--- a/internal/trial/caller.go
+++ b/internal/trial/caller.go
@@ -212,6 +212,7 @@
 	req.Header.Set("Authorization", "Bearer "+token("caller", r.partner, r.team))
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Caller-Request", r.id)
+	req.Header.Set("X-Request-Id", r.id) // chance in routing is drawn from it
 	if r.tokens > 0 || r.unrepeatable {
 		req.Header.Set("Idempotency-Key", r.id)
 	}
--- a/internal/trial/events.go
+++ b/internal/trial/events.go
@@ -136,7 +136,11 @@
 	}
 	t.balancer.plan(d)
 	t.say("       planned stop of %s", d.Self.Name)
-	d.Stop(ctx)
+	if stop := t.opts.Seams.Stop; stop != nil {
+		stop(ctx, d)
+	} else {
+		d.Stop(ctx)
+	}
 	t.markGone(d)
 	t.say("       %s has stopped", d.Self.Name)
 }
@@ -158,6 +162,9 @@
 				if err != nil {
 					continue
 				}
+				if see := t.opts.Seams.Version; see != nil {
+					row.Rev = see(d, row.Rev)
+				}
 				mu.Lock()
 				if row.Rev < seen[d] {
 					reverts++
--- a/internal/trial/fuzz_test.go
+++ b/internal/trial/fuzz_test.go
@@ -6,19 +6,14 @@
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"streambend.example/internal/fuzz"
-	"streambend.example/internal/plant"
 	"streambend.example/internal/trial"
 )
 
-// The fuzzer's budget in CI.
-const (
-	fuzzRuns  = 12
-	plantRuns = 40 // runs within which a planted fault must be found
-)
+// fuzzRuns is the fuzzer's budget in CI.
+const fuzzRuns = 12
 
 func TestMain(m *testing.M) { fuzz.Main(m, fuzzRuns) }
 
@@ -55,25 +50,3 @@
 		}
 	})
 }
-
-// TestPlantedFaultsAreFound shows that each property can fail.
-func TestPlantedFaultsAreFound(t *testing.T) {
-	for i, f := range []plant.Fault{
-		plant.DropMoved, plant.RepeatToken, plant.RefuseAfterSend, plant.RerunUnrepeatable, plant.RouteToLeaving,
-		plant.CutOnStop, plant.RevertConfig,
-	} {
-		t.Run(f.String(), func(t *testing.T) {
-			t.Parallel()
-			for n := range plantRuns {
-				o := script().Example(n)
-				o.Plant = f
-				r := virtual(t, o)
-				if p := r.Promises()[i]; !p.Held {
-					t.Logf("found in run %d: %s: %s; script %v", n+1, p.Text, p.Note, o.Script)
-					return
-				}
-			}
-			require.Fail(t, "not found", "%s in %d runs", f, plantRuns)
-		})
-	}
-}
--- /dev/null
+++ b/internal/trial/planted_test.go
@@ -0,0 +1,119 @@
+// SPDX-License-Identifier: MIT
+
+package trial_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"streambend.example/code"
+	"streambend.example/internal/standin"
+	"streambend.example/internal/trial"
+	"streambend.example/process"
+	"streambend.example/request"
+	"streambend.example/seam"
+)
+
+// plantRuns is within how many runs a planted fault must be found.
+const plantRuns = 40
+
+// planted is a fault that breaks the promise of the same place in the report. It
+// comes in through a seam of the product or of its surroundings.
+type planted struct {
+	name  string
+	seams trial.Seams
+}
+
+// plants lists one for each promise, in their order.
+func plants() []planted {
+	return []planted{
+		{"drop-moved", trial.Seams{Judge: dropMoved}},
+		{"repeat-token", trial.Seams{Engine: standin.EngineFault{Repeat: true}}},
+		{"refuse-after-send", trial.Seams{Judge: refuseAfterSend}},
+		{"rerun-unrepeatable", trial.Seams{Judge: rerunUnrepeatable}},
+		{"route-to-leaving", trial.Seams{Platform: hideLeaving}},
+		{"cut-on-stop", trial.Seams{Stop: func(_ context.Context, d *process.Daemon) { d.Kill() }}},
+		{"revert-config", trial.Seams{Version: revert()}},
+	}
+}
+
+// dropMoved gives up a stream that was cut for a reclaim.
+func dropMoved(now time.Time, a *request.Aftermath) request.Verdict {
+	if a.Ending == request.EndedMoved {
+		return request.Verdict{Action: request.GiveUp, Code: code.NotWhole}
+	}
+	return request.Classify(now, *a)
+}
+
+// refuseAfterSend says of a broken attempt that it has not run.
+func refuseAfterSend(now time.Time, a *request.Aftermath) request.Verdict {
+	if a.Ending == request.EndedBroken {
+		a.Tainted = false
+		return request.Verdict{Action: request.Refuse, Code: code.NoEndpoint}
+	}
+	return request.Classify(now, *a)
+}
+
+// rerunUnrepeatable sends a broken attempt again whatever it was.
+func rerunUnrepeatable(now time.Time, a *request.Aftermath) request.Verdict {
+	if a.Ending == request.EndedBroken {
+		return request.Verdict{Action: request.Again}
+	}
+	return request.Classify(now, *a)
+}
+
+// hideLeaving keeps from the daemons that boxes leave.
+func hideLeaving(p process.Platform) process.Platform {
+	p.Cloud, p.Boxes = quietCloud{p.Cloud}, quietList{p.Boxes}
+	return p
+}
+
+type quietCloud struct{ seam.Cloud }
+
+func (quietCloud) Notices(context.Context) ([]seam.Notice, error) { return nil, nil }
+
+type quietList struct{ seam.BoxList }
+
+func (l quietList) List(ctx context.Context, since int64) (seam.BoxPage, error) {
+	p, err := l.BoxList.List(ctx, since)
+	for i := range p.Boxes {
+		if p.Boxes[i].State == seam.BoxLeaving {
+			p.Boxes[i].State = seam.BoxLive
+		}
+	}
+	return p, err
+}
+
+// revert shows an operator the version before, each time after the first that
+// one is read.
+func revert() func(d *process.Daemon, inForce int64) int64 {
+	reads := 0
+	return func(_ *process.Daemon, inForce int64) int64 {
+		if reads++; reads%31 == 0 {
+			return inForce - 1
+		}
+		return inForce
+	}
+}
+
+// TestPlantedFaultsAreFound shows that each promise's check can fail.
+func TestPlantedFaultsAreFound(t *testing.T) {
+	for i, f := range plants() {
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			for n := range plantRuns {
+				o := script().Example(n)
+				o.Seams = f.seams
+				r := virtual(t, o)
+				if p := r.Promises()[i]; !p.Held {
+					t.Logf("found in run %d: %s: %s; script %v", n+1, p.Text, p.Note, o.Script)
+					return
+				}
+			}
+			require.Fail(t, "not found", "%s in %d runs", f.name, plantRuns)
+		})
+	}
+}
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -12,7 +12,7 @@
 
 	"github.com/pkg/errors"
 
-	"streambend.example/internal/plant"
+	"streambend.example/internal/standin"
 	"streambend.example/process"
 	"streambend.example/request"
 	"streambend.example/seam"
@@ -37,8 +37,18 @@
 	// DaemonNet is the network that the daemons dial over, to be measured; nil
 	// for Net.
 	DaemonNet seam.Network
-	Plant     plant.Fault // set by tests alone
-	Hold      bool        // keep running afterwards until ctx ends
+	Hold      bool // keep running afterwards until ctx ends
+	Seams     Seams
+}
+
+// Seams are where a test puts a fault of its own in, to show that a promise's
+// check can fail. The zero value puts none in.
+type Seams struct {
+	Judge    request.JudgePolicy                                 // of what follows an attempt
+	Platform func(p process.Platform) process.Platform           // what a daemon reaches
+	Engine   standin.EngineFault                                 // of every engine, from its start
+	Stop     func(ctx context.Context, d *process.Daemon)        // of a planned stop; nil for the daemon's own
+	Version  func(d *process.Daemon, inForce int64) (seen int64) // the version that an operator reads; nil for what is in force
 }
 
 // DefaultOptions returns the options of "streambend try".
@@ -59,6 +69,7 @@
 	r.NoLimit = o.Policy == "no-limit"
 	r.NoFairQueue = o.Policy == "no-fair-queue"
 	r.NoBudget = o.Policy == "no-budget"
+	r.Judge = o.Seams.Judge
 }
 
 // policies returns the routing, moving and placement policies.
@@ -127,6 +138,9 @@
 		close(done)
 	}()
 	if err := t.follow(ctx, l, done); err != nil {
+		cancel() // so that the callers end, and the error is all that is seen
+		<-done
+		events.Wait()
 		return nil, err
 	}
 	events.Wait()
--- a/internal/trial/world.go
+++ b/internal/trial/world.go
@@ -112,7 +112,10 @@
 		net = w.opts.DaemonNet
 	}
 	p := process.Adapters(s, net)
-	p.Plant, p.Adjust = w.opts.Plant, w.opts.adjust
+	p.Adjust = w.opts.adjust
+	if w.opts.Seams.Platform != nil {
+		p = w.opts.Seams.Platform(p)
+	}
 	d, err := process.New(s, p, w.log)
 	if err != nil {
 		return nil, err
@@ -168,6 +171,7 @@
 	defer w.mu.Unlock()
 	if svc.Kind == version.Model {
 		e := standin.NewEngine(w.opts.Net, b.ID, engine(svc), w.ledger)
+		e.SetFault(w.opts.Seams.Engine)
 		w.bad[b.ID] = e
 		w.stops = append(w.stops, e.Kill)
 		return e
--- a/process/current.go
+++ b/process/current.go
@@ -12,7 +12,6 @@
 	"github.com/google/uuid"
 
 	"streambend.example/conn"
-	"streambend.example/internal/plant"
 	"streambend.example/seam"
 	"streambend.example/version"
 )
@@ -29,22 +28,13 @@
 	recent []version.Entry
 	synced time.Time // when the table last answered
 	have   bool      // from table or peers
-
-	plant plant.Fault
-	old   *version.Config // for the planted fault
-	gets  int
 }
 
-func newCurrent(l version.Log, p plant.Fault) *current {
-	return &current{log: l, cfg: version.Empty(), plant: p}
-}
+func newCurrent(l version.Log) *current { return &current{log: l, cfg: version.Empty()} }
 
 func (c *current) get() *version.Config {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.gets++; c.plant == plant.RevertConfig && c.gets%31 == 0 && c.old != nil {
-		return c.old
-	}
 	return c.cfg
 }
 
@@ -59,7 +49,7 @@
 			gap = gap || e.Version > c.cfg.Version+1
 			continue
 		}
-		c.old, c.cfg, grew, c.have = c.cfg, next, true, true
+		c.cfg, grew, c.have = next, true, true
 		c.recent = append(c.recent, e)
 		if len(c.recent) > recentKept {
 			c.recent = c.recent[len(c.recent)-recentKept:]
--- a/process/daemon.go
+++ b/process/daemon.go
@@ -18,7 +18,6 @@
 
 	"streambend.example/cloud"
 	"streambend.example/conn"
-	"streambend.example/internal/plant"
 	"streambend.example/request"
 	"streambend.example/seam"
 	"streambend.example/version"
@@ -31,8 +30,7 @@
 	Cloud   seam.Cloud
 	Boxes   seam.BoxList
 	Network seam.Network
-	Close   func()      // closes the connections kept
-	Plant   plant.Fault // set by tests alone
+	Close   func() // closes the connections kept
 
 	// Adjust changes the request options, for trials that switch one
 	// mechanism off; nil for none.
@@ -123,12 +121,11 @@
 	client := conn.NewClient(p.Network, s.Limits.BodyBytes)
 	claims := request.NewClaims(d.instance(), d.tables.claim)
 	opts := s.options()
-	opts.Plant = p.Plant
 	if p.Adjust != nil {
 		p.Adjust(&opts)
 	}
 	d.Server = request.NewServer(opts, client, claims, peerAsker{d}, log)
-	d.config = newCurrent(version.Log{Table: d.tables.config, Objects: p.Objects}, p.Plant)
+	d.config = newCurrent(version.Log{Table: d.tables.config, Objects: p.Objects})
 	mesh := conn.NewMesh(d.Self, conn.DefaultTiming())
 	d.Hub = conn.NewHub(mesh, d.Self, p.Network, s.Peers.Secret, log, d.take, d.answerAsk)
 	d.fleet = newFleet(d)
@@ -231,10 +228,6 @@
 // then finished or handed over, then gone.
 func (d *Daemon) Stop(ctx context.Context) {
 	log := d.log.WithField("part", "process")
-	if d.plat.Plant == plant.CutOnStop {
-		d.Kill()
-		return
-	}
 	log.Infof("stop: %s is unready", d.Self.Name)
 	d.draining.Store(true)
 	d.ready.Store(false)
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -16,7 +16,6 @@
 
 	"streambend.example/code"
 	"streambend.example/conn"
-	"streambend.example/internal/plant"
 )
 
 // routeWait is how often a request without an endpoint looks again.
@@ -209,10 +208,6 @@
 	attempt := r.newAttempt()
 	prompt, emitted := r.a.begin(attempt, r.restart)
 	r.restart = false
-	if r.opts.Plant == plant.RepeatToken && len(emitted) > 0 {
-		emitted = emitted[:len(emitted)-1]
-		r.a.sent--
-	}
 	prefix := r.r.Prefix()
 	path, body, err := r.r.attemptBody(prompt, emitted, cacheKey(prefix))
 	if err != nil {
--- a/request/notice.go
+++ b/request/notice.go
@@ -5,8 +5,6 @@
 import (
 	"context"
 	"time"
-
-	"streambend.example/internal/plant"
 )
 
 // Leave tells that a box will be gone at a deadline.
@@ -26,9 +24,6 @@
 // Notice brings the streams off endpoints that leave. All are marked before any
 // stream moves, so that none moves to another that is about to leave.
 func (s *Server) Notice(now time.Time, leaves []Leave) {
-	if s.opts.Plant == plant.RouteToLeaving {
-		return
-	}
 	var ds []departure
 	for _, l := range leaves {
 		w, t := s.Works.Find(l.Box)
--- a/request/settle.go
+++ b/request/settle.go
@@ -10,7 +10,6 @@
 
 	"streambend.example/code"
 	"streambend.example/conn"
-	"streambend.example/internal/plant"
 )
 
 const (
@@ -32,12 +31,13 @@
 		r.life.Tainted = true
 	}
 	r.note(now, t, e)
-	v := Classify(now, Aftermath{
+	a := Aftermath{
 		Ending: e, Unrepeatable: r.r.Unrepeatable, Tainted: r.life.Tainted,
 		Budget: r.opts.NoBudget || r.work.Budget.Left(now), GiveUpAt: r.giveUpAt(),
 		Strict: r.opts.Retry != nil, Spent: r.spent(e),
-	})
-	v = r.planted(v, e)
+	}
+	v := r.opts.judge(now, &a)
+	r.life.Tainted = a.Tainted
 	if v.Action == Again && r.a.full() {
 		v = Verdict{Action: Finish}
 	}
@@ -59,20 +59,6 @@
 	return true
 }
 
-// planted spoils a verdict where a test has planted a fault.
-func (r *run) planted(v Verdict, e Ending) Verdict {
-	switch {
-	case r.opts.Plant == plant.DropMoved && e == EndedMoved:
-		return Verdict{Action: GiveUp, Code: code.NotWhole}
-	case r.opts.Plant == plant.RefuseAfterSend && e == EndedBroken:
-		r.life.Tainted = false
-		return Verdict{Action: Refuse, Code: code.NoEndpoint}
-	case r.opts.Plant == plant.RerunUnrepeatable && e == EndedBroken:
-		return Verdict{Action: Again}
-	}
-	return v
-}
-
 // moreSends is how many endpoints beyond its attempts a request is offered to
 // that has run at none of them.
 const moreSends = 2
--- a/request/work.go
+++ b/request/work.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"streambend.example/internal/plant"
 	"streambend.example/version"
 )
 
@@ -38,7 +37,18 @@
 	Retry       *RetryBound   // of the retries over all daemons; nil for a share of the successes
 	RouteWait   time.Duration // how long a request waits for an endpoint; 0 for until its deadline
 	Sent        func(s Sent)  // is told of each prompt sent to an engine; nil for none
-	Plant       plant.Fault   // set by tests alone
+	Judge       JudgePolicy   // decides what follows an attempt; nil for Classify
+}
+
+// JudgePolicy decides what follows an attempt. It may correct what is known of
+// the request.
+type JudgePolicy func(now time.Time, a *Aftermath) Verdict
+
+func (o *Options) judge(now time.Time, a *Aftermath) Verdict {
+	if o.Judge != nil {
+		return o.Judge(now, a)
+	}
+	return Classify(now, *a)
 }
 
 // retries returns the retry budget of a service.
