entry: a daemon that starts is not charged for what others admitted before

Ruled out: the endpoints (nothing waited there) and the retries of clients. Lines of requests are structured; settings reload on SIGHUP or when the file changes; metrics have a port of their own.

--- a/cmd/streambend/entry.go
+++ b/cmd/streambend/entry.go
@@ -8,8 +8,10 @@
 	"os/signal"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
 
 	"streambend.example/code"
 	"streambend.example/entry"
@@ -19,6 +21,8 @@
 // entryCommand runs a daemon on an entry box of the users' platform.
 type entryCommand struct {
 	Settings string `long:"settings" env:"STREAMBEND_SETTINGS" required:"true" value-name:"FILE" description:"settings that the platform writes"`
+	Metrics  string `long:"metrics" value-name:"HOST:PORT" description:"address for the metrics, besides the one for other daemons; none if empty"`
+	Check    bool   `long:"check" description:"check the settings and say what was read, without running"`
 }
 
 func (c *entryCommand) read() (platform.Site, error) {
@@ -41,29 +45,86 @@
 	// collectAt is by how much of the live heap, in per cent, it may grow
 	// between two collections: memory is dearer than processor time here.
 	collectAt = 40
+	// settingsPeriod is how often the settings file is looked at, since it may
+	// change without a signal.
+	settingsPeriod = 2 * time.Second
 )
 
+// limitMemory tells the collector what the box has.
+func limitMemory(s platform.Site) {
+	debug.SetGCPercent(collectAt)
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	}
+}
+
 // Execute implements flags.Commander.
 func (c *entryCommand) Execute([]string) error {
 	site, err := c.read()
 	if err != nil {
 		return err
 	}
-	debug.SetGCPercent(collectAt)
-	if site.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryShare * float64(site.MemoryBytes)))
+	if c.Check {
+		os.Stdout.WriteString(site.String() + "\n")
+		return nil
 	}
+	limitMemory(site)
 	lines := entry.NewLines(os.Stdout)
 	defer lines.Close()
-	d, err := entry.New(site, entry.Network(), entry.NewLog(lines))
+	log := entry.NewLog(lines)
+	d, err := entry.New(site, entry.Network(), log)
 	if err != nil {
 		return errors.Wrap(err, "entry")
 	}
+	if c.Metrics != "" {
+		d.ServeMetrics(c.Metrics)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	<-ctx.Done()
+	c.follow(ctx, log, lines, d)
 	d.Stop(context.Background())
 	return nil
 }
+
+// follow takes changed settings in until ctx ends.
+func (c *entryCommand) follow(ctx context.Context, log *logrus.Logger, lines *entry.Lines, d *entry.Daemon) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	defer signal.Stop(hup)
+	tick := time.NewTicker(settingsPeriod)
+	defer tick.Stop()
+	changed := c.changed()
+	for {
+		forced := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-hup:
+			forced = true
+		case <-tick.C:
+			lines.Report()
+		}
+		at := c.changed()
+		if at.Equal(changed) && !forced {
+			continue
+		}
+		changed = at
+		site, err := c.read()
+		if err != nil {
+			log.WithField("part", "process").Warnf("reload: settings left as they are: %v", err)
+			continue
+		}
+		limitMemory(site)
+		d.Reload(site)
+	}
+}
+
+// changed returns when the settings file was last written, or the zero time if
+// that cannot be told.
+func (c *entryCommand) changed() time.Time {
+	info, err := os.Stat(c.Settings)
+	if err != nil {
+		return time.Time{}
+	}
+	return info.ModTime()
+}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -43,11 +43,12 @@
 
 // Daemon is a running daemon.
 type Daemon struct {
-	Site   platform.Site
 	Self   conn.Member
 	Server *request.Server
 	Hub    *conn.Hub
 
+	network seam.Network
+	site    atomic.Pointer[platform.Site]
 	log     *logrus.Logger
 	store   *platform.Store
 	table   *platform.Table
@@ -84,7 +85,8 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{Site: site, log: log, meters: newMeters(), quotas: NewQuotas()}
+	d := &Daemon{network: n, log: log, meters: newMeters(), quotas: NewQuotas(site.First)}
+	d.site.Store(&site)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.Self = conn.Member{Name: site.Name, Start: time.Now().UnixMilli(), Address: site.PeerAddr, Zone: site.Zone}
 	d.outside = seam.HTTPClient(n, 0)
@@ -111,12 +113,12 @@
 // options returns the request options for this site.
 func (d *Daemon) options() request.Options {
 	o := request.Defaults()
-	o.Zone = d.Site.Zone
+	o.Zone = d.Site().Zone
 	o.Grace = 0 // the caller is gone at its deadline
 	o.NoLimit = true
 	o.RouteWait = comeBack
 	o.Sent = d.sends.add
-	b := d.Site.Bounds
+	b := d.Site().Bounds
 	o.Retry = &request.RetryBound{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack, Daemons: func() int { return len(d.Hub.Mesh.Members()) }}
 	return o
 }
@@ -147,6 +149,21 @@
 	d.run(func() { d.serveOn(d.peers, ls.peers) })
 }
 
+// ServeMetrics serves the metrics at an address of their own. A daemon serves
+// requests without it too, so a failure is only logged.
+func (d *Daemon) ServeMetrics(address string) {
+	l, err := d.network.Listen(address)
+	if err != nil {
+		d.log.WithField("part", "process").Warnf("no metrics at %s: %v", address, err)
+		return
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", d.meters)
+	s := &http.Server{Handler: mux, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait}
+	d.run(func() { d.serveOn(s, l) })
+	context.AfterFunc(d.ctx, func() { s.Close() })
+}
+
 func (d *Daemon) serveOn(s *http.Server, l net.Listener) {
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		d.log.WithField("part", "process").Errorf("serve %s: %v", l.Addr(), err)
@@ -164,8 +181,8 @@
 func (d *Daemon) judgeReady(now time.Time) {
 	c := d.catalog.get()
 	age, known := d.catalog.fresh.Age(now)
-	keys := c != nil && c.Keyed() && d.Site.Bounds.StrictRevocation
-	stale := keys && age > d.Site.Bounds.Revocation-freshMargin
+	keys := c != nil && c.Keyed() && d.Site().Bounds.StrictRevocation
+	stale := keys && age > d.Site().Bounds.Revocation-freshMargin
 	ok := c != nil && known && d.runners.known() && !stale && !d.stopping.Load()
 	if d.ready.Swap(ok) != ok {
 		d.log.WithFields(logrus.Fields{
@@ -293,7 +310,7 @@
 
 // window returns the number of the usage window of a moment.
 func (d *Daemon) window(at time.Time) int64 {
-	return at.UnixNano() / d.Site.Bounds.UsageWindow.Nanoseconds()
+	return at.UnixNano() / d.Site().Bounds.UsageWindow.Nanoseconds()
 }
 
 // instanceOf names a start of a daemon.
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -4,6 +4,8 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -19,17 +21,17 @@
 	dutyShard = "duties"
 	// dutyTerm is the term of the lease: it outlasts a slow store's renewal, and
 	// leaves a successor time for a report that is due in 10 s.
-	dutyTerm = 4 * time.Second
+	dutyTerm = 3 * time.Second
 	// dutyMargin is how long before its end a holder stops to act: its last call
 	// has arrived, or is lost, when the next holder begins.
-	dutyMargin = 1200 * time.Millisecond
+	dutyMargin = 900 * time.Millisecond
 	// dutyPeriod is how often the holder renews and others look, dutyStep how
 	// often the holder looks for work.
-	dutyPeriod = 1300 * time.Millisecond
+	dutyPeriod = 900 * time.Millisecond
 	dutyStep   = 250 * time.Millisecond
 	// dutyWatch is how often the others look at a lease whose holder they know
 	// to be alive.
-	dutyWatch = 5 * time.Second
+	dutyWatch = 2500 * time.Millisecond
 	// dutyPatience is how long the store may fail a holder until it leaves the
 	// duties to others: within it falls the next renewal.
 	dutyPatience = time.Second
@@ -61,7 +63,7 @@
 
 // run renews the lease and does what is due until ctx ends.
 func (x *duties) run(ctx context.Context) {
-	if x.d.Site.Cloud == "" || !(x.d.Site.Duties.Usage || x.d.Site.Duties.Scaling) {
+	if x.d.Site().Cloud == "" || !(x.d.Site().Duties.Usage || x.d.Site().Duties.Scaling) {
 		return
 	}
 	var renewed time.Time
@@ -92,6 +94,21 @@
 	return dutyPeriod
 }
 
+// abandoned returns the newest epoch whose holder is known to act no more: it has
+// said so, or its daemon has started anew since.
+func (x *duties) abandoned(row version.LeaseRow) int64 {
+	freed := x.freed.Load()
+	if row.Epoch <= freed || row.Holder == instanceOf(x.d.Self) {
+		return freed
+	}
+	for _, m := range append(x.d.others(), x.d.Self) {
+		if node, start := splitInstance(row.Holder); m.Name == node && m.Start > start {
+			return row.Epoch
+		}
+	}
+	return freed
+}
+
 // hearFreed takes in that the holder of an epoch acts no more.
 func (x *duties) hearFreed(epoch int64) {
 	if x.freed.Load() < epoch {
@@ -102,7 +119,7 @@
 // step renews the lease, or takes it.
 func (x *duties) step(ctx context.Context, now time.Time) {
 	before := x.lease.Holder()
-	x.lease.Abandoned = x.freed.Load()
+	x.lease.Abandoned = x.abandoned(before)
 	call, cancel := context.WithTimeout(ctx, answerLimit)
 	err := x.lease.Step(call, now, x.d.table)
 	cancel()
@@ -142,7 +159,7 @@
 	if x.acted.After(last) {
 		last = x.acted
 	}
-	return last.Add(x.d.Site.Bounds.Lease)
+	return last.Add(x.d.Site().Bounds.Lease)
 }
 
 // giveUp ends the term of a holder that the store does not answer, and tells the
@@ -160,12 +177,21 @@
 
 // nodeOf returns the daemon's name in the name of one of its starts.
 func nodeOf(instance string) string {
-	for i := len(instance) - 1; i >= 0; i-- {
-		if instance[i] == '#' {
-			return instance[:i]
-		}
+	node, _ := splitInstance(instance)
+	return node
+}
+
+// splitInstance takes what instanceOf has made apart.
+func splitInstance(instance string) (node string, start int64) {
+	at := strings.LastIndexByte(instance, '#')
+	if at < 0 {
+		return instance, 0
+	}
+	start, err := strconv.ParseInt(instance[at+1:], 10, 64)
+	if err != nil {
+		return instance, 0
 	}
-	return instance
+	return instance[:at], start
 }
 
 // mayAct returns the fence to act under, if the lease allows to act now.
@@ -179,10 +205,10 @@
 }
 
 func (x *duties) act(ctx context.Context, f platform.Fence) {
-	if x.d.Site.Duties.Usage {
+	if x.d.Site().Duties.Usage {
 		x.usage.step(ctx, f, x)
 	}
-	if x.d.Site.Duties.Scaling {
+	if x.d.Site().Duties.Scaling {
 		x.scale.step(ctx, f, x)
 	}
 }
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -123,7 +123,7 @@
 	if o.route.Public || !c.Keyed() {
 		return nil
 	}
-	if s.d.Site.Bounds.StrictRevocation && age > s.d.Site.Bounds.Revocation-freshMargin {
+	if s.d.Site().Bounds.StrictRevocation && age > s.d.Site().Bounds.Revocation-freshMargin {
 		return code.New(code.Isolated, "the configuration is %s old, so that no key holds", age.Round(time.Millisecond)).After(comeBack)
 	}
 	if o.tenant = c.Tenant(o.call.Key); o.tenant == nil {
--- a/entry/members.go
+++ b/entry/members.go
@@ -31,7 +31,7 @@
 		d.readMembers(ctx)
 		pause := memberPeriod
 		if d.Hub.Mesh.Neighbours() == 0 {
-			for _, a := range d.Site.Seeds {
+			for _, a := range d.Site().Seeds {
 				d.Hub.Greet(time.Now(), a)
 			}
 			pause = seedPeriod
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -12,6 +12,8 @@
 // Quotas hold a token bucket for each team, over all daemons: what others have
 // admitted is taken from it as soon as their word comes.
 type Quotas struct {
+	first bool // nothing was admitted before this process
+
 	mu      sync.Mutex
 	buckets map[string]*bucket
 }
@@ -23,8 +25,14 @@
 	burst float64
 }
 
-// NewQuotas returns quotas of which nothing is used.
-func NewQuotas() *Quotas { return &Quotas{buckets: make(map[string]*bucket)} }
+// NewQuotas returns quotas of which nothing is used; first tells that the whole
+// system has just begun.
+func NewQuotas(first bool) *Quotas { return &Quotas{first: first, buckets: make(map[string]*bucket)} }
+
+// restartShare is the part of a bucket that a process finds which does not know
+// what was admitted before it: daemons that die again and again must not hand
+// the whole burst out each time.
+const restartShare = 0.5
 
 // debtSeconds bounds how far a bucket goes below zero, as seconds of its rate:
 // what was admitted at once everywhere is paid back, but not for ever.
@@ -36,6 +44,9 @@
 	b := q.buckets[t.Name]
 	if b == nil {
 		b = &bucket{level: t.Burst, at: now, rate: t.Rate, burst: t.Burst}
+		if !q.first {
+			b.level *= restartShare
+		}
 		q.buckets[t.Name] = b
 	}
 	if b.rate != t.Rate || b.burst != t.Burst {
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -104,7 +104,7 @@
 	if r.Leaving && !(known && old.Leaving) && t != nil {
 		left := r.LeavesIn
 		if left <= 0 {
-			left = k.d.Site.Bounds.Drain
+			left = k.d.Site().Bounds.Drain
 		}
 		t.Leave(now.Add(left))
 		k.d.log.WithFields(fields).WithField("left_ms", left.Milliseconds()).Info("endpoint leaves")
--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -217,6 +217,25 @@
 	})
 }
 
+func TestDutiesGoOnSoonAfterAllDaemonsDied(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		time.Sleep(6 * time.Second)
+		calls := w.api.Calls("/usage")
+		require.NotEmpty(t, calls)
+		first := calls[len(calls)-1]
+		for _, d := range w.daemons {
+			d.Kill()
+		}
+		for i, d := range w.daemons {
+			w.daemons[i] = w.startNamed(d.Self.Name, i)
+		}
+		time.Sleep(6 * time.Second)
+		after := w.api.Calls("/usage")[len(calls):]
+		require.NotEmpty(t, after, "the daemon that held the lease knows that its former self is dead")
+		assert.Greater(t, after[0].Fence, first.Fence)
+	})
+}
+
 func TestThePlannedStop(t *testing.T) {
 	inWorld(t, 2, func(w *world) {
 		w.runner(engines, "a", "i-1", 100) // 2 s
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -25,7 +25,7 @@
 	d.judgeReady(began)
 	d.callers.SetKeepAlivesEnabled(false)
 	d.duties.release(ctx)
-	ctx, cancel := context.WithDeadline(ctx, began.Add(d.Site.Bounds.Grace-stopMargin))
+	ctx, cancel := context.WithDeadline(ctx, began.Add(d.Site().Bounds.Grace-stopMargin))
 	defer cancel()
 	sleep(ctx, unreadyWait)
 	err := d.callers.Shutdown(ctx)
--- a/entry/tally.go
+++ b/entry/tally.go
@@ -134,7 +134,11 @@
 		if x.Seq <= old.tally.Seq {
 			continue
 		}
+		_, known := t.others[k]
 		for team, n := range x.Admit {
+			if !known && x.Start < t.self.Start {
+				continue // admitted before this process began: only what follows counts
+			}
 			if add := n - old.tally.Admit[team]; add != 0 {
 				out = append(out, Admitted{team, add})
 			}
--- /dev/null
+++ b/entry/tally_test.go
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: MIT
+
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"streambend.example/conn"
+	"streambend.example/entry"
+	"streambend.example/version"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func tallies(name string, began int64) *entry.Tallies {
+	return entry.NewTallies(conn.Member{Name: name, Start: began})
+}
+
+// exchange has one tell another what is news to it.
+func exchange(now time.Time, from, to *entry.Tallies, fromName, toName string) []entry.Admitted {
+	return to.Hear(now, fromName, from.News(toName))
+}
+
+func TestWhatOthersAdmitIsHeardOnce(t *testing.T) {
+	a, b, c := tallies("a", 1), tallies("b", 1), tallies("c", 1)
+	a.Admit("team", 10)
+	assert.Equal(t, []entry.Admitted{{Team: "team", Units: 10}}, exchange(start, a, b, "a", "b"))
+	assert.Empty(t, exchange(start, a, b, "a", "b"))
+	assert.Equal(t, []entry.Admitted{{Team: "team", Units: 10}}, exchange(start, b, c, "b", "c"), "passed on")
+	assert.Empty(t, exchange(start, a, c, "a", "c"), "heard by another way already")
+	a.Admit("team", 5)
+	assert.Equal(t, []entry.Admitted{{Team: "team", Units: 5}}, exchange(start, a, c, "a", "c"))
+}
+
+func TestAStartedDaemonIsNotChargedForTheTimeBefore(t *testing.T) {
+	old, young := tallies("old", 1000), tallies("young", 5000)
+	old.Admit("team", 1_000_000)
+	assert.Empty(t, exchange(start, old, young, "old", "young"), "admitted before it began")
+	old.Admit("team", 7)
+	assert.Equal(t, []entry.Admitted{{Team: "team", Units: 7}}, exchange(start, old, young, "old", "young"))
+	young.Admit("team", 9)
+	assert.Equal(t, []entry.Admitted{{Team: "team", Units: 9}}, exchange(start, young, old, "young", "old"), "a daemon that is younger tells of its time alone")
+}
+
+func TestWindowsAddUpOverAllDaemonsAndStarts(t *testing.T) {
+	a, again, b := tallies("a", 1), tallies("a", 2), tallies("b", 1)
+	for range 3 {
+		a.Begin("x", 7)
+	}
+	exchange(start, a, b, "a", "b")
+	again.Begin("x", 7)
+	exchange(start, again, b, "a", "b")
+	b.Begin("y", 7)
+	b.Begin("y", 8)
+	assert.Equal(t, map[string]int{"x": 4, "y": 1}, b.Window(7))
+}
+
+func TestABucketHoldsTheRateAndPaysBack(t *testing.T) {
+	q := entry.NewQuotas(true)
+	team := &version.Tenant{Name: "x", Rate: 100, Burst: 50}
+	admitted := 0.0
+	for i := range 100 {
+		if _, ok := q.Admit(start.Add(time.Duration(i)*100*time.Millisecond), team, 20, 1); ok {
+			admitted += 20
+		}
+	}
+	assert.InDelta(t, 50+990, admitted, 20)
+	now := start.Add(20 * time.Second)
+	q.Others(now, team, 150, 1)
+	wait, ok := q.Admit(now, team, 20, 1)
+	assert.False(t, ok)
+	assert.InDelta(t, 1.2, wait.Seconds(), 0.01)
+	q.Return(team, 500)
+	_, ok = q.Admit(now, team, 50, 1)
+	assert.True(t, ok)
+	_, ok = q.Admit(now, team, 1, 1)
+	assert.False(t, ok, "what is given back does not pass the burst")
+}
+
+func TestARestartDoesNotFillTheBucket(t *testing.T) {
+	q := entry.NewQuotas(false)
+	team := &version.Tenant{Name: "x", Rate: 100, Burst: 50}
+	_, ok := q.Admit(start, team, 30, 1)
+	assert.False(t, ok, "what the process before has admitted is not known")
+	_, ok = q.Admit(start, team, 20, 1)
+	assert.True(t, ok)
+}
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -57,7 +57,7 @@
 
 // due reports whether the next window has ended long enough ago.
 func (u *usageDuty) due(now time.Time) bool {
-	end := time.Unix(0, (u.next+1)*u.d.Site.Bounds.UsageWindow.Nanoseconds())
+	end := time.Unix(0, (u.next+1)*u.d.Site().Bounds.UsageWindow.Nanoseconds())
 	return !now.Before(end.Add(usageSettle))
 }
 
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"slices"
 	"strconv"
@@ -68,7 +67,7 @@
 			return Choice{}, err
 		}
 		if ok {
-			r.logChoice(c)
+			r.logChoice(now, c)
 			return c, nil
 		}
 		late := !now.Add(r.ticket.Expect).Before(r.r.Deadline) && r.attempts == 0
@@ -112,17 +111,6 @@
 	return r.work.Pool.Route(now, n)
 }
 
-func (r *run) logChoice(c Choice) {
-	var scores []byte
-	for _, o := range c.Others {
-		if o.Target != nil {
-			scores = fmt.Appendf(scores, " %s=%.3fs", o.Target.ID, o.Score)
-		}
-	}
-	r.log.Infof("route: %s %s/%s to %s (%s) load %d bound %d hit %.2f: %s;%s",
-		r.r.ID, r.r.Partner, r.r.Route.Name, c.Target.ID, c.Target.Zone, c.Load, c.Bound, c.Hit, c.Why, scores)
-}
-
 // attempt sends the request to one endpoint and takes its answer in.
 func (r *run) attempt(ctx context.Context, c Choice) (Ending, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
--- a/request/life.go
+++ b/request/life.go
@@ -105,6 +105,9 @@
 	GiveUp               // the outcome is unknown
 )
 
+// String returns the action's name.
+func (a Action) String() string { return [...]string{"finish", "again", "refuse", "give up"}[a] }
+
 // Verdict is what to do after an attempt, and the code of a final answer.
 type Verdict struct {
 	Action Action
--- /dev/null
+++ b/request/lines.go
@@ -0,0 +1,82 @@
+// SPDX-License-Identifier: MIT
+
+package request
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"streambend.example/code"
+)
+
+// fields are what each of a request's log lines says of it.
+func (r *run) fields(now time.Time) logrus.Fields {
+	return logrus.Fields{
+		"request": r.r.ID, "service": r.work.Pool.Service, "route": r.r.Route.Name, "team": r.r.Team,
+		"attempt": r.attempts, "left_ms": r.r.Deadline.Sub(now).Milliseconds(), "age_ms": now.Sub(r.r.Arrived).Milliseconds(),
+	}
+}
+
+// line returns a log line of a request, or nil if its level is not written.
+func (r *run) line(now time.Time, level logrus.Level) *logrus.Entry {
+	if !r.log.Logger.IsLevelEnabled(level) {
+		return nil
+	}
+	return r.log.WithFields(r.fields(now))
+}
+
+// logChoice writes why an endpoint was chosen.
+func (r *run) logChoice(now time.Time, c Choice) {
+	l := r.line(now, logrus.InfoLevel)
+	if l == nil {
+		return
+	}
+	f := logrus.Fields{
+		"endpoint": c.Target.ID, "zone": c.Target.Zone, "load": c.Load, "load_age_ms": c.Target.reportAge(now).Milliseconds(), "why": c.Why,
+	}
+	if c.First > 0 || c.Fresh > 0 {
+		f["wait_ms"], f["read_ms"] = c.Wait.Milliseconds(), c.Own.Milliseconds()
+		f["fresh_tokens"], f["shared_fresh_tokens"] = c.Fresh, c.Shared
+	} else {
+		f["bound"], f["hit"] = c.Bound, c.Hit
+	}
+	for i, o := range c.Others {
+		if o.Target != nil {
+			f["candidate_"+string(rune('a'+i))] = o.Target.ID
+		}
+	}
+	l.WithFields(f).Info("routed")
+}
+
+// logAttempt writes how an attempt ended that did not end the request well.
+func (r *run) logAttempt(now time.Time, t *Target, e Ending, v Verdict, failure error) {
+	if l := r.line(now, logrus.InfoLevel); l != nil {
+		l.WithFields(logrus.Fields{
+			"endpoint": t.ID, "ending": e.String(), "then": v.Action.String(), "may_have_run": r.life.Tainted, "tokens": r.a.emitted(),
+		}).Infof("attempt ended: %v", failure)
+	}
+}
+
+// logEnd writes how the request ended.
+func (r *run) logEnd(now time.Time, err *code.Error) {
+	level := logrus.InfoLevel
+	if err != nil && err.Code.Ran() != code.NotRun {
+		level = logrus.WarnLevel
+	}
+	l := r.line(now, level)
+	switch {
+	case l == nil:
+	case err == nil:
+		l.WithField("state", r.life.State()).Info("answered")
+	default:
+		l.WithFields(logrus.Fields{
+			"code": int(err.Code), "name": err.Code.Entry().Name, "ran": err.Code.Ran().String(), "retry_after_ms": err.RetryAfter.Milliseconds(),
+		}).Log(level, "ended: "+err.Message)
+	}
+}
+
+// logEject writes that an endpoint is kept out.
+func (r *run) logEject(t *Target, why string) {
+	r.log.WithFields(logrus.Fields{"endpoint": t.ID, "service": r.work.Pool.Service, "request": r.r.ID}).Warnf("ejected: %s", why)
+}
--- a/request/relay.go
+++ b/request/relay.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 
 	"streambend.example/conn"
 )
@@ -308,11 +307,3 @@
 		}
 	}
 }
-
-// relayFields are the facts of a relayed request for the log.
-func (r *run) relayFields(t *Target) logrus.Fields {
-	return logrus.Fields{
-		"request": r.r.ID, "route": r.r.Route.Name, "team": r.r.Team, "endpoint": t.ID, "zone": t.Zone,
-		"attempt": r.attempts, "left_ms": time.Until(r.r.Deadline).Milliseconds(),
-	}
-}
--- a/request/server.go
+++ b/request/server.go
@@ -327,7 +327,7 @@
 		r.life.on(eventLose)
 		r.Count.Unknown.Add(1)
 	}
-	r.log.Infof("refuse: %s %s/%s %s", r.r.ID, r.r.Partner, r.r.Route.Name, err)
+	r.logEnd(time.Now(), err)
 	r.a.settle(err)
 	if refused && r.claimed {
 		r.Claims.Release(context.WithoutCancel(r.alive), r.claim)
@@ -351,7 +351,7 @@
 	}
 	r.life.on(eventLose)
 	r.Count.Unknown.Add(1)
-	r.log.Warnf("lose: %s %s/%s %s after %d attempts", r.r.ID, r.r.Partner, r.r.Route.Name, err, r.attempts)
+	r.logEnd(time.Now(), err)
 	r.a.settle(err)
 }
 
--- a/request/settle.go
+++ b/request/settle.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,7 +43,7 @@
 		v = Verdict{Action: Finish}
 	}
 	if v.Action != Finish {
-		r.log.Infof("attempt: %s at %s ended %s (%v), tokens %d", r.r.ID, t.ID, e, failure, r.a.emitted())
+		r.logAttempt(now, t, e, v, failure)
 	}
 	switch v.Action {
 	case Finish:
@@ -84,11 +85,11 @@
 		// ends none would never be ejected.
 		t.Succeed()
 		if pace, ok := r.pace(now); ok && t.Paced(now, pace, r.work.Speed.Pace(!r.r.IsModel())) {
-			r.log.Warnf("eject: %s of %s is slow, %s where %s is usual", t.ID, r.work.Pool.Service, pace, r.work.Speed.Pace(!r.r.IsModel()))
+			r.logEject(t, fmt.Sprintf("slow, %s where %s is usual", pace, r.work.Speed.Pace(!r.r.IsModel())))
 		}
 	case EndedUnsent, EndedBroken:
 		if _, leaving := t.Leaving(); !leaving && t.Fail(now, e == EndedUnsent) {
-			r.log.Warnf("eject: %s of %s after %s", t.ID, r.work.Pool.Service, e)
+			r.logEject(t, e.String())
 		}
 	case EndedRefused:
 		if r.r.Relay != nil {
@@ -160,6 +161,7 @@
 		r.Count.Complete.Add(1)
 	}
 	r.life.on(event)
+	r.logEnd(now, nil)
 	if r.r.Relay != nil && r.r.Relay.Streaming {
 		r.a.settle(nil)
 		return
--- a/request/target.go
+++ b/request/target.go
@@ -156,6 +156,13 @@
 	return t.class, int(t.load.Load())
 }
 
+// reportAge returns how long ago the endpoint's load was last reported.
+func (t *Target) reportAge(now time.Time) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Sub(t.at)
+}
+
 // saysFull reports whether the endpoint itself has said lately that it is full.
 func (t *Target) saysFull(now time.Time) bool {
 	t.mu.Lock()
