entry: exchange tallies through the zones' readers where the daemons are many

Above 12 daemons each gives its own to its zone's reader with the question that it asks anyway, and gets what others admit; only readers hold all tallies and compete for the duties. Prompts then go to the home that all daemons compute, as few know what others have sent.

--- a/conn/member.go
+++ b/conn/member.go
@@ -119,6 +119,9 @@
 	Refute  time.Duration // time a suspect has to deny it
 	Forget  time.Duration // how long dead members are remembered
 	Retry   time.Duration // between two tries to reach a dead member
+
+	// FullMesh is up to how many daemons each has a link with every other.
+	FullMesh int
 }
 
 // DefaultTiming returns the periods of an ordinary daemon.
--- a/conn/mesh.go
+++ b/conn/mesh.go
@@ -18,9 +18,6 @@
 // the next heartbeats settle the rest.
 const spreadMost = 8
 
-// fullMesh is up to how many daemons each has a link with every other.
-const fullMesh = 12
-
 // Mesh decides what a daemon tells its neighbours. It does no input or output.
 type Mesh struct {
 	timing Timing
@@ -161,7 +158,7 @@
 	if at < 0 || n < 2 {
 		return nil
 	}
-	if n <= fullMesh {
+	if n <= m.timing.FullMesh {
 		return slices.Delete(ring, at, at+1)
 	}
 	picked := make(map[int]bool)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -57,6 +57,7 @@
 	runners runnerKeeper
 	tallies *Tallies
 	quotas  *Quotas
+	flow    flowReader
 	sends   sendQueue
 	duties  *duties
 	meters  *meters
@@ -98,7 +99,9 @@
 	d.tallies = NewTallies(d.Self)
 	d.sends.wake = make(chan struct{}, 1)
 	d.Server = request.NewServer(d.options(), conn.NewClient(n, defaultBody), nil, nil, log)
-	mesh := conn.NewMesh(d.Self, conn.DefaultTiming())
+	timing := conn.DefaultTiming()
+	timing.FullMesh = fullMesh
+	mesh := conn.NewMesh(d.Self, timing)
 	// The links are inside the platform's own network; the word that signs them
 	// keeps deployments apart, it is no secret.
 	d.Hub = conn.NewHub(mesh, d.Self, n, "streambend "+site.Store, log, d.take, d.answer)
@@ -238,15 +241,6 @@
 	})
 }
 
-// gossip sends each neighbour the tallies that are news to it.
-func (d *Daemon) gossip(time.Time) {
-	for _, name := range d.Hub.Mesh.NeighbourNames() {
-		if news := d.tallies.News(name); len(news) > 0 {
-			d.Hub.Give(name, conn.Payload{Tallies: news})
-		}
-	}
-}
-
 // take takes in what a link has brought.
 func (d *Daemon) take(now time.Time, in conn.Delivery) {
 	if in.Payload.Freed > 0 {
@@ -258,21 +252,16 @@
 	if len(in.Payload.Tallies) == 0 {
 		return
 	}
-	c := d.catalog.get()
-	for _, a := range d.tallies.Hear(now, in.From, in.Payload.Tallies) {
-		if c == nil {
-			continue
-		}
-		if t := c.TenantNamed(a.Team); t != nil {
-			d.quotas.Others(now, t, float64(a.Units), d.share())
-		}
-	}
+	d.takeTallies(now, in.From, in.Payload.Tallies)
 }
 
 // answer answers another daemon's question.
-func (d *Daemon) answer(_ context.Context, _, kind string, body []byte) ([]byte, error) {
-	if kind == askFresh {
+func (d *Daemon) answer(_ context.Context, from, kind string, body []byte) ([]byte, error) {
+	switch kind {
+	case askFresh:
 		return d.answerFresh(body)
+	case askTallies:
+		return d.answerTallies(from, body)
 	}
 	return nil, errors.Errorf("entry: no question %q", kind)
 }
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -69,7 +69,9 @@
 	var renewed time.Time
 	for ctx.Err() == nil {
 		now := time.Now()
-		if now.Sub(renewed) >= x.period() && !x.d.stopping.Load() {
+		// Where the daemons are many, only the readers know all tallies.
+		able := x.held || !x.d.many() || x.d.isReader()
+		if able && now.Sub(renewed) >= x.period() && !x.d.stopping.Load() {
 			renewed = now
 			x.step(ctx, now)
 		}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -30,6 +30,8 @@
 type freshQuestion struct {
 	Catalog int64 `codec:"c"` // version of its catalog
 	Runners int64 `codec:"r"` // the store's version of its endpoints
+
+	Tally *conn.Tally `codec:"t,omitempty"` // the asker's own, where the daemons are many
 }
 
 // freshAnswer brings the asker up to the answerer's state.
@@ -42,6 +44,9 @@
 	Runners int64         `codec:"r"`
 	Changed bool          `codec:"h,omitempty"` // the endpoints have changed since the asker's version
 	Entries []entryRow    `codec:"e,omitempty"` // all of them, if so
+
+	Source string           `codec:"s,omitempty"` // the answerer's start
+	Flow   map[string]int64 `codec:"w,omitempty"` // what others admit, by team, since then
 }
 
 type entryRow struct {
@@ -71,14 +76,13 @@
 	if age, ok := d.catalog.fresh.Age(now); !ok || age > peerAge || !d.runners.known() || d.readerDown.Load() {
 		return true
 	}
-	r, ok := Reader(d.Self.Zone, d.Hub.Mesh.Members())
-	return !ok || r.Name == d.Self.Name
+	return d.isReader()
 }
 
 // askPeers asks another daemon, unless this one reads the store with success.
 func (d *Daemon) askPeers(ctx context.Context, now time.Time) {
 	age, ok := d.catalog.fresh.Age(now)
-	r, found := Reader(d.Self.Zone, d.Hub.Mesh.Members())
+	r, found := d.reader()
 	if found && r.Name == d.Self.Name && ok && age < peerAge {
 		return
 	}
@@ -104,6 +108,10 @@
 	if c := d.catalog.get(); c != nil {
 		q.Catalog = c.Version
 	}
+	if d.many() {
+		t := d.tallies.Own()
+		q.Tally = &t
+	}
 	sent := time.Now()
 	b, err := d.Hub.Ask(ctx, name, askFresh, conn.Marshal(q))
 	if err != nil {
@@ -117,6 +125,11 @@
 	if a.Known {
 		d.takeFresh(sent, name, a)
 	}
+	if a.Source != "" {
+		for _, x := range d.flow.take(a.Source, a.Flow) {
+			d.charge(time.Now(), x.Team, x.Units)
+		}
+	}
 	return a.Known && !a.Failing
 }
 
@@ -145,12 +158,17 @@
 	if err := conn.Unmarshal(body, &q); err != nil {
 		return nil, err
 	}
+	var a freshAnswer
+	if q.Tally != nil {
+		d.takeTallies(time.Now(), q.Tally.Daemon, []conn.Tally{*q.Tally})
+		a.Source, a.Flow = instanceOf(d.Self), d.tallies.Flow(q.Tally.Daemon)
+	}
 	age, ok := d.catalog.fresh.Age(time.Now()) // before the state is read, so that it is not newer than that
 	f := d.catalog.cur.Load()
 	if f == nil || !ok || !d.runners.known() {
-		return conn.Marshal(freshAnswer{}), nil
+		return conn.Marshal(a), nil
 	}
-	a := freshAnswer{Known: true, Failing: d.feedsDown.Load() > 0, Age: age, Catalog: f.catalog.Version}
+	a.Known, a.Failing, a.Age, a.Catalog = true, d.feedsDown.Load() > 0, age, f.catalog.Version
 	if a.Catalog > q.Catalog {
 		a.Value = f.value
 	}
--- a/entry/sends.go
+++ b/entry/sends.go
@@ -57,6 +57,10 @@
 		case <-d.sends.wake:
 		}
 		sleep(ctx, sendsPause)
+		if d.many() {
+			d.sends.take() // the others take a prompt's home from its head alone
+			continue
+		}
 		b := conn.Marshal(d.sends.take())
 		for _, name := range d.Hub.Mesh.NeighbourNames() {
 			d.Hub.Give(name, conn.Payload{Sends: b})
--- a/entry/tally.go
+++ b/entry/tally.go
@@ -26,6 +26,7 @@
 	mu     sync.Mutex
 	self   conn.Tally
 	others map[daemonStart]heard
+	flow   map[string]map[string]int64       // daemon to team to what it was heard to admit
 	sent   map[string]map[daemonStart]uint64 // neighbour to what it was sent
 }
 
@@ -39,7 +40,7 @@
 func NewTallies(self conn.Member) *Tallies {
 	return &Tallies{
 		self:   conn.Tally{Daemon: self.Name, Start: self.Start, Admit: make(map[string]int64), Windows: make(map[int64]map[string]int)},
-		others: make(map[daemonStart]heard), sent: make(map[string]map[daemonStart]uint64),
+		others: make(map[daemonStart]heard), flow: make(map[string]map[string]int64), sent: make(map[string]map[daemonStart]uint64),
 	}
 }
 
@@ -141,6 +142,7 @@
 			}
 			if add := n - old.tally.Admit[team]; add != 0 {
 				out = append(out, Admitted{team, add})
+				t.flows(x.Daemon)[team] += add
 			}
 		}
 		t.others[k] = heard{x, now}
@@ -148,6 +150,40 @@
 	return out
 }
 
+// flows returns what a daemon was heard to admit; the caller holds the lock.
+func (t *Tallies) flows(daemon string) map[string]int64 {
+	f := t.flow[daemon]
+	if f == nil {
+		f = make(map[string]int64)
+		t.flow[daemon] = f
+	}
+	return f
+}
+
+// Own returns this daemon's tally.
+func (t *Tallies) Own() conn.Tally {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return copyTally(t.self)
+}
+
+// Flow returns what all daemons but one were heard to admit since this process
+// began, with its own admissions.
+func (t *Tallies) Flow(except string) map[string]int64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := maps.Clone(t.self.Admit)
+	for daemon, teams := range t.flow {
+		if daemon == except {
+			continue
+		}
+		for team, n := range teams {
+			out[team] += n
+		}
+	}
+	return out
+}
+
 // tallyLife is how long the word of a daemon that has fallen silent is kept.
 const tallyLife = time.Minute
 
--- /dev/null
+++ b/entry/tallyshare.go
@@ -0,0 +1,127 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"streambend.example/conn"
+)
+
+// Few daemons send their tallies to each other over their links. Where they are
+// many, each gives its own to its zone's reader with its question for what is
+// new, and gets in return what all others were heard to admit; the readers
+// exchange the tallies of their zones.
+
+// fullMesh is up to how many daemons each tells all others: then a word comes at
+// once, and costs a daemon no more than 11 short frames.
+const fullMesh = 12
+
+// askTallies is the question between readers: it brings the asker's news and
+// answers with the other's.
+const askTallies = "tallies"
+
+// many reports whether the daemons are too many for each to tell all others.
+func (d *Daemon) many() bool { return len(d.Hub.Mesh.Members()) > fullMesh }
+
+// reader returns the reader of this daemon's zone.
+func (d *Daemon) reader() (conn.Member, bool) { return Reader(d.Self.Zone, d.Hub.Mesh.Members()) }
+
+// isReader reports whether this daemon is its zone's reader.
+func (d *Daemon) isReader() bool {
+	r, ok := d.reader()
+	return !ok || r.Name == d.Self.Name
+}
+
+// gossip tells others of the tallies that are news to them.
+func (d *Daemon) gossip(time.Time) {
+	if !d.many() {
+		for _, name := range d.Hub.Mesh.NeighbourNames() {
+			if news := d.tallies.News(name); len(news) > 0 {
+				d.Hub.Give(name, conn.Payload{Tallies: news})
+			}
+		}
+		return
+	}
+	if !d.isReader() {
+		return
+	}
+	members := d.Hub.Mesh.Members()
+	zones := make(map[string]bool)
+	for _, m := range members {
+		if zones[m.Zone] || m.Zone == d.Self.Zone {
+			continue
+		}
+		zones[m.Zone] = true
+		if r, ok := Reader(m.Zone, members); ok {
+			d.run(func() { d.swapTallies(r.Name) })
+		}
+	}
+}
+
+// swapTallies exchanges tallies with the reader of another zone.
+func (d *Daemon) swapTallies(name string) {
+	ctx, cancel := context.WithTimeout(d.ctx, peerLimit)
+	defer cancel()
+	b, err := d.Hub.Ask(ctx, name, askTallies, conn.Marshal(d.tallies.News(name)))
+	if err != nil {
+		d.tallies.Lost(name) // what it was sent may not have come
+		return
+	}
+	d.hearTallies(name, b)
+}
+
+// answerTallies answers another reader.
+func (d *Daemon) answerTallies(from string, body []byte) ([]byte, error) {
+	d.hearTallies(from, body)
+	return conn.Marshal(d.tallies.News(from)), nil
+}
+
+func (d *Daemon) hearTallies(from string, body []byte) {
+	var in []conn.Tally
+	if err := conn.Unmarshal(body, &in); err != nil {
+		d.log.WithField("part", "tallies").Warnf("of %s: %v", from, err)
+		return
+	}
+	d.takeTallies(time.Now(), from, in)
+}
+
+// takeTallies takes tallies in and charges the teams for what is new.
+func (d *Daemon) takeTallies(now time.Time, from string, in []conn.Tally) {
+	for _, a := range d.tallies.Hear(now, from, in) {
+		d.charge(now, a.Team, a.Units)
+	}
+}
+
+func (d *Daemon) charge(now time.Time, team string, units int64) {
+	if c := d.catalog.get(); c != nil {
+		if t := c.TenantNamed(team); t != nil {
+			d.quotas.Others(now, t, float64(units), d.share())
+		}
+	}
+}
+
+// flowReader follows what others admit by the word of one reader at a time.
+type flowReader struct {
+	mu     sync.Mutex
+	source string // the reader's start
+	seen   map[string]int64
+}
+
+// take returns what was admitted since the reader's last word. The first word of
+// another reader only tells where to count from.
+func (f *flowReader) take(source string, flow map[string]int64) []Admitted {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	known := f.source == source
+	var out []Admitted
+	for team, n := range flow {
+		if add := n - f.seen[team]; known && add != 0 {
+			out = append(out, Admitted{team, add})
+		}
+	}
+	f.source, f.seen = source, flow
+	return out
+}
--- a/request/backlog.go
+++ b/request/backlog.go
@@ -198,12 +198,57 @@
 	laneMemory = 20 * time.Second
 )
 
+// homeHit is how likely the first endpoints in a prompt's order are to keep its
+// shared parts although nothing is known of it here: all daemons have the same
+// order, and prefer the first.
+var homeHit = [...]float64{0.7, 0.3}
+
+// tieBreak spreads prompts over endpoints that are as good, in seconds.
+const tieBreak = 0.004
+
+// homes are the first endpoints in the order of a prompt's shared head.
+type homes [len(homeHit)]*Target
+
+func homesOf(l *poolList, n Need) homes {
+	var h homes
+	var weights [len(homeHit)]uint64
+	if n.Prefix == 0 {
+		return h
+	}
+	for _, t := range l.all {
+		if !t.open(n) {
+			continue
+		}
+		w := mix(n.Prefix, t.hash)
+		for i := range h {
+			if h[i] == nil || w > weights[i] {
+				copy(h[i+1:], h[i:])
+				copy(weights[i+1:], weights[i:])
+				h[i], weights[i] = t, w
+				break
+			}
+		}
+	}
+	return h
+}
+
+// place returns an endpoint's place among the homes, or -1.
+func (h homes) place(t *Target) int {
+	for i, x := range h {
+		if x == t {
+			return i
+		}
+	}
+	return -1
+}
+
 // choosePrompt takes the endpoint at which the prompt is read soonest, with a
 // preference for one that keeps its shared parts. A prompt whose reading would
 // hold up the streams that run beside it goes where few of them run.
 func (p *Pool) choosePrompt(now time.Time, l *poolList, n Need) (Choice, bool) {
 	var c Choice
 	best := math.Inf(1)
+	home := homesOf(l, n)
 	lane := 0
 	if now.Sub(p.heldAt()) < laneMemory && len(l.all) >= laneLeast {
 		lane = max(1, int(laneShare*float64(len(l.all))))
@@ -214,7 +259,12 @@
 		}
 		r := t.backlog.Read(now, n.Parts)
 		first := r.Wait + r.Own + t.slotWait(n)
-		score := first.Seconds() + rereadWeight*r.Own.Seconds()*float64(r.Shared)/float64(max(r.Fresh, 1))
+		shared := r.Own.Seconds() * float64(r.Shared) / float64(max(r.Fresh, 1))
+		score := first.Seconds() + rereadWeight*shared
+		if place := home.place(t); place >= 0 {
+			score -= homeHit[place] * (1 + rereadWeight) * shared
+		}
+		score += tieBreak * float64(mix(n.Draw, t.hash)%1024) / 1024
 		holds := n.Pause > 0 && float64(r.Held) > heldShare*float64(n.Pause)
 		switch {
 		case holds:
