--- a/internal/standin/cloud.go
+++ b/internal/standin/cloud.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"streambend.example/seam"
 )
 
@@ -75,6 +77,11 @@
 	return c.refused
 }
 
+// boxName names the box of an order. The name follows from the order and not from
+// when it came: daemons order at the same time, and the names decide which
+// endpoint a prompt's head belongs to.
+func boxName(token string) string { return fmt.Sprintf("box-%08x", uint32(xxhash.Sum64String(token))) }
+
 // Start implements the order; the same token has one effect.
 func (c *Cloud) Start(now time.Time, o seam.StartOrder) (seam.Box, bool) {
 	c.mu.Lock()
@@ -87,7 +94,7 @@
 		return seam.Box{}, false
 	}
 	b := seam.Box{
-		ID: fmt.Sprintf("box-%03d", len(c.boxes)+1), Token: o.Token, Partner: o.Partner, Service: o.Service,
+		ID: boxName(o.Token), Token: o.Token, Partner: o.Partner, Service: o.Service,
 		Zone: o.Zone, Class: o.Class, Reclaimable: o.Reclaimable, State: seam.BoxStarting, Price: c.price(o),
 	}
 	cb := &cloudBox{box: b, started: now}
--- a/process/fleet.go
+++ b/process/fleet.go
@@ -37,11 +37,28 @@
 type toldClass struct {
 	class request.Class
 	at    time.Time
+	again int // how often it was told again since it changed
 }
 
-// retell is how long after the last word on an endpoint its watcher tells its
-// class again although it has not changed, for those who missed it.
-const retell = 4 * time.Minute
+// A watcher tells an endpoint's class again although it has not changed, for those
+// who missed it: a daemon that has just met the others, or does not know the
+// endpoint yet. It does so after firstRetell, then after twice that and so on, at
+// the latest after retell.
+const (
+	firstRetell = 2 * time.Second
+	retell      = 4 * time.Minute
+)
+
+// due reports whether a class is to be told, and what is noted if so.
+func (c toldClass) due(now time.Time, class request.Class) (toldClass, bool) {
+	if c.class != class || c.at.IsZero() {
+		return toldClass{class: class, at: now}, true
+	}
+	if now.Sub(c.at) < min(retell, firstRetell<<min(c.again, 7)) {
+		return c, false
+	}
+	return toldClass{class: class, at: now, again: c.again + 1}, true
+}
 
 type heard struct {
 	at      time.Time
@@ -255,11 +272,11 @@
 	class, _ := t.Class(now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	before := f.classes[t.ID]
-	if before.class == class && now.Sub(before.at) < retell {
+	told, due := f.classes[t.ID].due(now, class)
+	if !due {
 		return conn.LoadClass{}, false
 	}
-	f.classes[t.ID] = toldClass{class, now}
+	f.classes[t.ID] = told
 	return conn.LoadClass{Box: t.ID, Class: int(class)}, true
 }
 
