--- /dev/null
+++ b/conn/forward_test.go
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: MIT
+
+package conn_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"streambend.example/conn"
+)
+
+func TestEventsKeepTheirBytes(t *testing.T) {
+	in := "id: 1\ndata: a\n\nversions: 2\nid: 2\ndata: b\ndata: c\n\n\nid: 10\r\ndata: d\r\n\r\n"
+	e := conn.NewEvents(strings.NewReader(in))
+	var out []byte
+	var ids []int64
+	for {
+		ev, err := e.Next()
+		if err == io.EOF {
+			break
+		}
+		require.NoError(t, err)
+		out = append(out, ev.Raw...)
+		ids = append(ids, ev.ID)
+	}
+	assert.Equal(t, in, string(out))
+	assert.Equal(t, []int64{1, 2, 10}, ids)
+}
+
+func TestAStreamThatEndsWithinAnEventIsNotWhole(t *testing.T) {
+	for _, in := range []string{"id: 1\nda", "id: 1\ndata: a\n", "id: x\n\n"} {
+		_, err := conn.NewEvents(strings.NewReader(in)).Next()
+		assert.Error(t, err, "%q", in)
+		assert.NotEqual(t, io.EOF, err, "%q", in)
+	}
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n\n"))
+	f.Fuzz(func(t *testing.T, in []byte) {
+		e := conn.NewEvents(bytes.NewReader(in))
+		var out []byte
+		for {
+			ev, err := e.Next()
+			if err != nil {
+				break
+			}
+			out = append(out, ev.Raw...)
+		}
+		if !bytes.HasPrefix(in, out) {
+			t.Fatal("bytes were changed")
+		}
+	})
+}
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -6,6 +6,7 @@
 	"context"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,7 @@
 // duties are the calls that one daemon at a time makes.
 type duties struct {
 	d     *Daemon
+	mu    sync.Mutex // over the lease and what follows from it: a planned stop gives it up from outside
 	lease version.Lease
 	usage usageDuty
 	scale scaleDuty
@@ -71,9 +73,8 @@
 		now := time.Now()
 		// Where the daemons are many, only the readers know all tallies.
 		able := !x.d.many() || x.d.isReader()
-		if !able && x.held {
+		if !able && x.holds() {
 			x.release(ctx)
-			x.held = false
 		}
 		if able && now.Sub(renewed) >= x.period() && !x.d.stopping.Load() {
 			renewed = now
@@ -87,8 +88,17 @@
 	}
 }
 
+// holds reports whether the lease was ours when it was last looked at.
+func (x *duties) holds() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.held
+}
+
 // period is how long after a look at the lease the next is due.
 func (x *duties) period() time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	holder := x.lease.Holder()
 	if x.held || holder.Holder == "" || holder.Free || x.freed.Load() >= holder.Epoch {
 		return dutyPeriod
@@ -125,6 +135,8 @@
 
 // step renews the lease, or takes it.
 func (x *duties) step(ctx context.Context, now time.Time) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	before := x.lease.Holder()
 	x.lease.Abandoned = x.abandoned(before)
 	call, cancel := context.WithTimeout(ctx, answerLimit)
@@ -203,6 +215,8 @@
 
 // mayAct returns the fence to act under, if the lease allows to act now.
 func (x *duties) mayAct(now time.Time) (platform.Fence, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
 	epoch, held := x.lease.Held(now)
 	if !held || now.Before(x.actFrom) || x.d.stopping.Load() {
 		return platform.Fence{}, false
@@ -224,6 +238,9 @@
 func (x *duties) release(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.held = false
 	if err := x.lease.Release(ctx, time.Now(), x.d.table); err != nil {
 		x.d.log.WithField("part", "duties").Warnf("lease not released: %v", err)
 	}
--- a/entry/logs.go
+++ b/entry/logs.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"sync/atomic"
-	"time"
 
 	"github.com/sirupsen/logrus"
 	"golang.org/x/time/rate"
@@ -19,8 +18,6 @@
 	// costs neither processor nor memory that requests need.
 	logRate  = 200
 	logBurst = 400
-	// lostPeriod is how often the number of lines left out is told.
-	lostPeriod = 5 * time.Second
 )
 
 // Lines writes log lines without ever holding up who logs: what does not fit is
