--- a/cmd/streambend/main.go
+++ b/cmd/streambend/main.go
@@ -34,6 +34,7 @@
 		{"bench", "Compare our policies with the baselines", &benchCommand{}},
 		{"serve", "Run a daemon", &serveCommand{}},
 		{"entry", "Run a daemon on an entry box of the users' platform", &entryCommand{}},
+		{"soak", "Run processes on loopback, make things fail from outside, and check every promise", &soakCommand{}},
 		{"check", "Check a daemon's settings", &checkCommand{}},
 		{"intent", "Submit, confirm and look at intents", &intentCommand{}},
 		{"status", "Show boxes, endpoints, leases and versions", &statusCommand{}},
--- /dev/null
+++ b/internal/soak/check.go
@@ -0,0 +1,164 @@
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+
+	"streambend.example/internal/standin"
+)
+
+// kind is a kind of request and what it promises.
+type kind struct {
+	path   string
+	method string
+	once   bool // runs at most once
+	events int  // of its stream; 0 for a plain answer
+}
+
+// asked is a request that was sent, for the check of what became of it.
+type asked struct {
+	kind    kind
+	dead    bool // its key was taken away long before
+	refused bool // the answer said that it has not run
+}
+
+// checker holds the promises against what callers and endpoints have seen.
+type checker struct {
+	mu      sync.Mutex
+	asked   map[string]*asked
+	broken  []string
+	answers map[string]int // by status or error
+	calm    time.Time      // when the last fault ended
+}
+
+func newChecker() *checker {
+	return &checker{asked: make(map[string]*asked), answers: make(map[string]int)}
+}
+
+// most bounds the broken promises that are told one by one.
+const most = 20
+
+func (c *checker) fail(format string, args ...any) {
+	if len(c.broken) < most {
+		c.broken = append(c.broken, fmt.Sprintf(format, args...))
+	}
+}
+
+// send notes a request before it is sent.
+func (c *checker) send(id string, k kind, dead bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.asked[id] = &asked{kind: k, dead: dead}
+}
+
+// disturb notes that something fails until a time.
+func (c *checker) disturb(until time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if until.After(c.calm) {
+		c.calm = until
+	}
+}
+
+// wholeStream is the body of a stream of so many events, as the stand-in writes it.
+func wholeStream(n int) string {
+	var b strings.Builder
+	for i := 1; i <= n; i++ {
+		fmt.Fprintf(&b, "id: %d\ndata: event %d\n\n", i, i)
+	}
+	return b.String()
+}
+
+// settle is how long after a fault a connection may still break for it.
+const settle = 3 * time.Second
+
+// answer takes in what a caller got.
+func (c *checker) answer(id string, d *daemon, began time.Time, status int, body, signature string, err error) {
+	now := time.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a := c.asked[id]
+	if err != nil {
+		c.answers["broken off"]++
+		planned := d.lastPlanned()
+		if planned.After(began.Add(-time.Second)) && now.Sub(planned) < graceTime && now.After(c.calm.Add(settle)) && began.After(c.calm.Add(settle)) {
+			c.fail("a planned stop of %s cut %s off: %v", d.name, id, err)
+		}
+		return
+	}
+	c.answers[fmt.Sprint(status)]++
+	switch {
+	case status >= 200 && status < 300:
+		want := "answer to " + id
+		if a.kind.events > 0 {
+			want = wholeStream(a.kind.events)
+		}
+		if body != want || signature == "" {
+			c.fail("%s got as whole what is not: %d bytes of %d, signed %q", id, len(body), len(want), signature)
+		}
+	case status == 429 || status == 503 || status == 408 || status == 421:
+		a.refused = true
+		if signature != "" {
+			c.fail("%s got a refusal %d with an endpoint's signature", id, status)
+		}
+	}
+}
+
+// runs holds what the endpoints have run against what was promised.
+func (c *checker) runs(runners []*standin.Runner) (ran int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := make(map[string]int)
+	for _, r := range runners {
+		for _, x := range r.Ran() {
+			count[x.ID]++
+			ran++
+			if a := c.asked[x.ID]; a == nil || x.Method != a.kind.method || !strings.HasPrefix(x.Target, a.kind.path) {
+				c.fail("%s ran and nobody asked for it so", x.ID)
+			}
+		}
+	}
+	for id, a := range c.asked {
+		n := count[id]
+		switch {
+		case a.kind.once && n > 1:
+			c.fail("%s may run once and ran %d times", id, n)
+		case a.refused && n > 0:
+			c.fail("%s was refused as not run and ran", id)
+		case a.dead && n > 0:
+			c.fail("%s ran with a key that was taken away long before", id)
+		}
+	}
+	return ran
+}
+
+// duties holds the calls of the cloud API against each other.
+func (c *checker) duties(calls []standin.DutyCall) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	reports := make(map[string]string)
+	holders := make(map[int64]string)
+	newest := int64(0)
+	for _, x := range calls {
+		if h, ok := holders[x.Fence]; ok && h != x.Holder {
+			c.fail("fence %d was used by %s and %s", x.Fence, h, x.Holder)
+		}
+		holders[x.Fence] = x.Holder
+		if x.Fence < newest {
+			c.fail("%s acted under fence %d after %d", x.Holder, x.Fence, newest)
+		}
+		newest = max(newest, x.Fence)
+		if x.Path != "/usage" {
+			continue
+		}
+		window, _, _ := strings.Cut(x.Body, ",")
+		if before, ok := reports[window]; ok && before != x.Body {
+			c.fail("two reports of one window differ: %s and %s", before, x.Body)
+		}
+		reports[window] = x.Body
+	}
+}
--- /dev/null
+++ b/internal/soak/events.go
@@ -0,0 +1,165 @@
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+
+	"streambend.example/internal/standin"
+	"streambend.example/platform"
+)
+
+// syscallCont wakes a paused process, which could not end otherwise.
+const syscallCont = syscall.SIGCONT
+
+// event is something that happens to the system, for a time; its end undoes it.
+type event struct {
+	name  string
+	fault bool // connections may break for it
+	begin func(w *world) (undo func())
+}
+
+// anyDaemon draws one of the daemons.
+func (w *world) anyDaemon() *daemon { return w.daemons[w.rng.IntN(len(w.daemons))] }
+
+// anyRunner draws one of the endpoints.
+func (w *world) anyRunner() int { return w.rng.IntN(len(w.runners)) }
+
+// storeFault returns an event of the store.
+func storeFault(name string, f standin.RowsFault) event {
+	return event{"store " + name, true, func(w *world) func() {
+		w.store.SetFault(f)
+		return func() { w.store.SetFault(standin.RowsFault{}) }
+	}}
+}
+
+// runnerFault returns an event of one endpoint.
+func runnerFault(name string, f standin.RunnerFault) event {
+	return event{"endpoint " + name, true, func(w *world) func() {
+		r := w.runners[w.anyRunner()]
+		r.SetFault(f)
+		return func() { r.SetFault(standin.RunnerFault{Lie: w.o.Lie}) }
+	}}
+}
+
+// links returns an event of a proxy before the store or an endpoint.
+func links(m Mode) event {
+	return event{"link " + m.String(), true, func(w *world) func() {
+		p := w.anyDaemon().store
+		if w.rng.IntN(2) == 0 {
+			p = w.proxies[w.anyRunner()]
+		}
+		p.Set(m)
+		return func() { p.Set(Pass) }
+	}}
+}
+
+// events lists what may happen.
+func events() []event {
+	return []event{
+		{"kill", true, func(w *world) func() {
+			d := w.anyDaemon()
+			d.signal(syscall.SIGCONT)
+			d.kill()
+			return func() { w.startAgain(d) }
+		}},
+		{"planned stop", false, func(w *world) func() {
+			d := w.anyDaemon()
+			w.wg.Go(func() {
+				d.stop()
+				w.startAgain(d)
+			})
+			return func() {}
+		}},
+		{"pause", true, func(w *world) func() {
+			d := w.anyDaemon()
+			d.signal(syscall.SIGSTOP)
+			return func() { d.signal(syscall.SIGCONT) }
+		}},
+		{"reload", false, func(w *world) func() {
+			w.anyDaemon().signal(syscall.SIGHUP)
+			return func() {}
+		}},
+		{"configuration", false, func(w *world) func() {
+			w.putCatalog()
+			return func() {}
+		}},
+		{"key taken away", false, func(w *world) func() {
+			w.revoke()
+			return func() {}
+		}},
+		{"history gone", true, func(w *world) func() {
+			w.store.Forget()
+			return func() {}
+		}},
+		{"endpoint leaves", false, func(w *world) func() {
+			i := w.anyRunner()
+			w.enter(i, "draining")
+			return func() { w.enter(i, "ready") }
+		}},
+		storeFault("busy", standin.RowsFault{Busy: true}), storeFault("silent", standin.RowsFault{Silent: true}),
+		storeFault("slow", standin.RowsFault{Delay: 250 * time.Millisecond}), storeFault("loses answers", standin.RowsFault{Lost: true}),
+		runnerFault("does not run", standin.RunnerFault{NotRun: true}), runnerFault("fails", standin.RunnerFault{Fail: true}),
+		runnerFault("mixes answers", standin.RunnerFault{OtherID: true}), runnerFault("cuts", standin.RunnerFault{CutAfter: 3, CutEvent: true, CutAnswer: true}),
+		runnerFault("is mute", standin.RunnerFault{Mute: true}),
+		links(Delay), links(Silence), links(OneWay), links(Reset),
+	}
+}
+
+// disturb lets things happen until ctx ends, in series and overlapping.
+func (w *world) disturb(ctx context.Context) {
+	list := events()
+	if w.o.Lie {
+		for _, r := range w.runners {
+			r.SetFault(standin.RunnerFault{Lie: true})
+		}
+	}
+	for {
+		pause(ctx, time.Duration(200+w.rng.IntN(900))*time.Millisecond)
+		e := list[w.rng.IntN(len(list))]
+		length := time.Duration(200+w.rng.IntN(2800)) * time.Millisecond
+		if ctx.Err() != nil {
+			return
+		}
+		w.say("%s for %s", e.name, length)
+		w.events[e.name]++
+		if e.fault {
+			w.check.disturb(time.Now().Add(length))
+		}
+		undo := e.begin(w)
+		w.wg.Go(func() {
+			time.Sleep(length)
+			undo()
+			if e.fault {
+				w.check.disturb(time.Now())
+			}
+		})
+	}
+}
+
+func (w *world) startAgain(d *daemon) {
+	if err := d.start(); err != nil {
+		w.say("%s does not start: %v", d.name, err)
+	}
+}
+
+// revoke replaces the oldest key.
+func (w *world) revoke() {
+	w.mu.Lock()
+	w.dead[w.keys[0]] = time.Now()
+	w.keys = append(w.keys[1:], fmt.Sprintf("key-%d", len(w.dead)+len(w.keys)))
+	w.mu.Unlock()
+	w.putCatalog()
+}
+
+// enter writes an endpoint's entry in the store.
+func (w *world) enter(i int, state string) {
+	r, service := w.runners[i], "engines"
+	if i%2 == 1 {
+		service = "plain"
+	}
+	w.store.Put(platform.RunnerTable, "", r.Instance, r.EntryAt(w.proxies[i].Address(), service, zoneOf(i/2), state))
+}
--- /dev/null
+++ b/internal/soak/proxy.go
@@ -0,0 +1,185 @@
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// Mode is what a Proxy does to the bytes that pass.
+type Mode int
+
+// The modes of a proxy.
+const (
+	Pass    Mode = iota
+	Delay        // each piece comes later
+	Silence      // nothing passes, and nobody is told
+	OneWay       // answers do not come back
+	Reset        // connections are reset, new ones too
+)
+
+// String returns the mode's name.
+func (m Mode) String() string {
+	return [...]string{"pass", "delay", "silence", "one-way", "reset"}[m]
+}
+
+// delayTime is what a piece is delayed by.
+const delayTime = 150 * time.Millisecond
+
+// Proxy stands between a caller and a server on loopback.
+type Proxy struct {
+	listener net.Listener
+	target   string
+
+	mu      sync.Mutex
+	mode    Mode
+	changed chan struct{}
+	conns   map[*net.TCPConn]bool
+	closed  bool
+}
+
+// NewProxy starts a proxy before host:port.
+func NewProxy(target string) (*Proxy, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	p := &Proxy{listener: l, target: target, changed: make(chan struct{}), conns: make(map[*net.TCPConn]bool)}
+	go p.accept()
+	return p, nil
+}
+
+// Address returns host:port.
+func (p *Proxy) Address() string { return p.listener.Addr().String() }
+
+// Set changes the mode. Reset also resets what is open.
+func (p *Proxy) Set(m Mode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.mode = m
+	close(p.changed)
+	p.changed = make(chan struct{})
+	if m == Reset {
+		p.resetAll()
+	}
+}
+
+func (p *Proxy) resetAll() {
+	for c := range p.conns {
+		c.SetLinger(0) // so that the close is a reset
+		c.Close()
+	}
+	clear(p.conns)
+}
+
+// Close ends the proxy and its connections.
+func (p *Proxy) Close() {
+	p.listener.Close()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	close(p.changed)
+	p.changed = make(chan struct{})
+	p.resetAll()
+}
+
+func (p *Proxy) accept() {
+	for {
+		c, err := p.listener.Accept()
+		if err != nil {
+			return // closed
+		}
+		go p.serve(c.(*net.TCPConn))
+	}
+}
+
+// keep takes a connection in, or resets it.
+func (p *Proxy) keep(c *net.TCPConn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.mode == Reset {
+		c.SetLinger(0)
+		c.Close()
+		return false
+	}
+	p.conns[c] = true
+	return true
+}
+
+func (p *Proxy) drop(c *net.TCPConn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+	c.Close()
+}
+
+func (p *Proxy) serve(in *net.TCPConn) {
+	if !p.keep(in) {
+		return
+	}
+	defer p.drop(in)
+	conn, err := net.Dial("tcp", p.target)
+	if err != nil {
+		in.SetLinger(0)
+		return
+	}
+	out := conn.(*net.TCPConn)
+	if !p.keep(out) {
+		return
+	}
+	defer p.drop(out)
+	done := make(chan struct{}, 2)
+	go func() {
+		p.copy(out, in, false)
+		done <- struct{}{}
+	}()
+	go func() {
+		p.copy(in, out, true)
+		done <- struct{}{}
+	}()
+	<-done
+	<-done
+}
+
+// copy passes bytes on until one side ends.
+func (p *Proxy) copy(to, from *net.TCPConn, back bool) {
+	buf := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buf)
+		if n > 0 {
+			if !p.hold(back) {
+				return
+			}
+			if _, err := to.Write(buf[:n]); err != nil {
+				from.Close()
+				return
+			}
+		}
+		if err != nil {
+			to.CloseWrite() // what was passed on before is still to be read
+			return
+		}
+	}
+}
+
+// hold waits until bytes may pass in a direction; false if the proxy has ended.
+func (p *Proxy) hold(back bool) bool {
+	for {
+		p.mu.Lock()
+		mode, changed, closed := p.mode, p.changed, p.closed
+		p.mu.Unlock()
+		switch {
+		case closed:
+			return false
+		case mode == Silence, mode == OneWay && back:
+			<-changed
+		case mode == Delay:
+			time.Sleep(delayTime)
+			return true
+		default:
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,317 @@
+// SPDX-License-Identifier: MIT
+
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"streambend.example/internal/standin"
+	"streambend.example/platform"
+	"streambend.example/seam"
+)
+
+// Options say what a soak does.
+type Options struct {
+	Seed    uint64
+	Span    time.Duration // how long requests are sent
+	Daemons int
+	Callers int       // that send one request after the other
+	Program string    // the product
+	Dir     string    // for settings and logs
+	Lie     bool      // endpoints say of some requests that they have not run: a known fault, to show that the checks can fail
+	Say     io.Writer // for a person; nil for none
+}
+
+// Report is what a soak has found.
+type Report struct {
+	Seed    uint64
+	Asked   int
+	Ran     int
+	Answers map[string]int // by status
+	Events  map[string]int // faults and changes, by name
+	Broken  []string       // promises that did not hold
+}
+
+// host is the one that all routes have.
+const host = "soak.example"
+
+// The kinds of requests: as a digest, an explainer, an unsafe and a safe call.
+var kinds = []kind{
+	{"/digest/", http.MethodPost, true, 12},
+	{"/explain/", http.MethodPost, false, 8},
+	{"/write/", http.MethodPost, true, 0},
+	{"/read/", http.MethodGet, false, 0},
+}
+
+// world is the system under test and what surrounds it.
+type world struct {
+	o       Options
+	rng     *rand.Rand
+	check   *checker
+	store   *standin.Rows
+	api     *standin.DutyAPI
+	daemons []*daemon
+	client  *http.Client // of the balancer
+	began   time.Time
+
+	mu      sync.Mutex
+	runners []*standin.Runner
+	proxies []*Proxy // before the runners
+	events  map[string]int
+	version int64
+	keys    []string
+	dead    map[string]time.Time // key to when it was taken away
+	wg      sync.WaitGroup
+}
+
+// Run runs a soak. The error tells that it could not be run.
+func Run(ctx context.Context, o Options) (*Report, error) {
+	w := &world{
+		o: o, rng: rand.New(rand.NewPCG(o.Seed, 7)), check: newChecker(), events: make(map[string]int),
+		dead: make(map[string]time.Time), keys: []string{"key-0", "key-1"}, client: &http.Client{Timeout: 500 * time.Millisecond},
+	}
+	defer w.close()
+	if err := w.setUp(); err != nil {
+		return nil, err
+	}
+	run, cancel := context.WithTimeout(ctx, o.Span)
+	defer cancel()
+	w.wg.Go(func() { w.balance(run) })
+	for i := range o.Callers {
+		rng := rand.New(rand.NewPCG(o.Seed, uint64(100+i)))
+		w.wg.Go(func() { w.call(run, i, rng) })
+	}
+	w.disturb(run)
+	w.wg.Wait()
+	ran := w.check.runs(w.runners)
+	w.check.duties(append(w.api.Calls("/usage"), w.api.Calls("/scale")...))
+	return &Report{Seed: o.Seed, Asked: len(w.check.asked), Ran: ran, Answers: w.check.answers, Events: w.events, Broken: w.check.broken}, nil
+}
+
+func (w *world) say(format string, args ...any) {
+	if w.o.Say != nil {
+		fmt.Fprintf(w.o.Say, "%6.2f s  "+format+"\n", append([]any{time.Since(w.began).Seconds()}, args...)...)
+	}
+}
+
+// setUp starts everything and waits until all daemons are ready.
+func (w *world) setUp() error {
+	w.began = time.Now()
+	var err error
+	if w.store, err = standin.NewRows(seam.TCP{}, "127.0.0.1:0"); err != nil {
+		return errors.Wrap(err, "soak: store")
+	}
+	if w.api, err = standin.NewDutyAPI(seam.TCP{}, "127.0.0.1:0"); err != nil {
+		return errors.Wrap(err, "soak: cloud")
+	}
+	w.putCatalog()
+	for i := range 6 {
+		if err := w.addRunner(i); err != nil {
+			return err
+		}
+	}
+	for i := range w.o.Daemons {
+		p, err := NewProxy(w.store.Address())
+		if err != nil {
+			return errors.Wrap(err, "soak: proxy")
+		}
+		d, err := newDaemon(w.o, i, p, w.api.Address(), true)
+		if err != nil {
+			return err
+		}
+		w.daemons = append(w.daemons, d)
+		if err := d.start(); err != nil {
+			return err
+		}
+	}
+	for range 100 {
+		ready := 0
+		for _, d := range w.daemons {
+			if d.look(w.client); d.isReady() {
+				ready++
+			}
+		}
+		if ready == len(w.daemons) {
+			return nil
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return errors.New("soak: the daemons do not get ready")
+}
+
+// addRunner starts an endpoint: even ones are engines, odd ones plain.
+func (w *world) addRunner(i int) error {
+	service, events := "engines", 1
+	if i%2 == 1 {
+		service, events = "plain", 0
+	}
+	id := fmt.Sprintf("i-%d", i)
+	r, err := standin.NewRunner(seam.TCP{}, "127.0.0.1:0", id, events, 10*time.Millisecond)
+	if err != nil {
+		return errors.Wrap(err, "soak: runner")
+	}
+	r.ByPath = map[string]int{"/digest/": kinds[0].events, "/explain/": kinds[1].events}
+	p, err := NewProxy(r.Address())
+	if err != nil {
+		return errors.Wrap(err, "soak: proxy")
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.runners, w.proxies = append(w.runners, r), append(w.proxies, p)
+	w.store.Put(platform.RunnerTable, "", id, r.EntryAt(p.Address(), service, zoneOf(i/2), "ready"))
+	return nil
+}
+
+// putCatalog writes the next version of the configuration.
+func (w *world) putCatalog() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.version += 3
+	route := func(prefix, kind, service string, attempts int, resume bool) map[string]any {
+		return map[string]any{
+			"name": "r" + prefix, "host": host, "path_prefix": prefix, "kind": kind, "service": service, "timeout_ms": 5000,
+			"target_latency_ms": 600, "target_gap_ms": 500, "attempts": attempts, "resumable": resume, "priority": 1,
+		}
+	}
+	b, err := json.Marshal(map[string]any{
+		"version": w.version,
+		"routes": []any{
+			route("/digest/", "streaming", "engines", 1, false), route("/explain/", "streaming", "engines", 2, true),
+			route("/write/", "unsafe", "plain", 1, false), route("/read/", "safe", "plain", 2, false),
+			route(fmt.Sprintf("/extra-%d/", w.version), "safe", "plain", 1, false),
+		},
+		"services": []any{
+			map[string]any{"name": "engines", "connection_limit": 500, "engine": map[string]any{"slots": 64, "kv_cache_tokens": 500000}},
+			map[string]any{"name": "plain", "connection_limit": 500},
+		},
+		"limits":  map[string]any{"body_bytes": 100000, "idle_timeout_ms": 15000},
+		"tenants": []any{map[string]any{"name": "team", "api_keys": w.keys, "unit": "tokens", "plain_tokens": 200}},
+	})
+	if err != nil {
+		panic(err) // maps of texts and numbers always encode
+	}
+	w.store.Put(platform.CatalogTable, "", "config", b)
+}
+
+// balance looks at the daemons' readiness.
+func (w *world) balance(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, d := range w.daemons {
+			d.look(w.client)
+		}
+		pause(ctx, 300*time.Millisecond)
+	}
+}
+
+// deadAfter is how long after a key was taken away no daemon may take it.
+const deadAfter = 5 * time.Second
+
+// key returns a key to send and whether it must be refused by now.
+func (w *world) key(rng *rand.Rand) (key string, dead bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for k, at := range w.dead {
+		if rng.IntN(20) == 0 {
+			return k, time.Since(at) > deadAfter
+		}
+	}
+	return w.keys[rng.IntN(len(w.keys))], false
+}
+
+// call sends one request after the other. It stays with a daemon, also when that
+// is stopping, until a connection breaks or it has sent enough there.
+func (w *world) call(ctx context.Context, caller int, rng *rand.Rand) {
+	client := &http.Client{Timeout: 8 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+	defer client.CloseIdleConnections()
+	var d *daemon
+	for n := 0; ctx.Err() == nil; n++ {
+		if d == nil || n%30 == 0 {
+			d = w.pick(rng)
+		}
+		id := fmt.Sprintf("s%d-c%d-%d", w.o.Seed, caller, n)
+		if !w.one(client, d, id, kinds[rng.IntN(len(kinds))], rng) {
+			d = nil
+		}
+		pause(ctx, time.Duration(rng.IntN(30))*time.Millisecond)
+	}
+}
+
+// pick returns a ready daemon, or any if none is.
+func (w *world) pick(rng *rand.Rand) *daemon {
+	start := rng.IntN(len(w.daemons))
+	for i := range w.daemons {
+		if d := w.daemons[(start+i)%len(w.daemons)]; d.isReady() {
+			return d
+		}
+	}
+	return w.daemons[start]
+}
+
+// one sends a request and checks its answer; false if the connection broke.
+func (w *world) one(client *http.Client, d *daemon, id string, k kind, rng *rand.Rand) bool {
+	key, dead := w.key(rng)
+	var body io.Reader
+	if k.method == http.MethodPost {
+		body = strings.NewReader("body of " + id)
+	}
+	req, err := http.NewRequest(k.method, "http://"+d.callers+k.path+id, body)
+	if err != nil {
+		panic(err) // the address is our own
+	}
+	req.GetBody = nil // a request is sent once, so that its id is counted once
+	req.Host = host
+	req.Header.Set("Streambend-Request-Id", id)
+	req.Header.Set("Streambend-Deadline-Milliseconds", "5000")
+	req.Header.Set("Streambend-Token-Counts", "900,60")
+	req.Header.Set("Streambend-Prompt-Prefix", fmt.Sprintf("a1:300,%x:400,%x:200", 16+rng.IntN(20), rng.Uint32()))
+	req.Header.Set("Api-Key", key)
+	w.check.send(id, k, dead)
+	began := time.Now()
+	resp, err := client.Do(req)
+	if err != nil {
+		w.check.answer(id, d, began, 0, "", "", err)
+		return false
+	}
+	defer resp.Body.Close()
+	b, err := io.ReadAll(resp.Body)
+	w.check.answer(id, d, began, resp.StatusCode, string(b), resp.Header.Get("Streambend-Server-Signature"), err)
+	return err == nil
+}
+
+// close ends all that was started.
+func (w *world) close() {
+	for _, d := range w.daemons {
+		d.signal(syscallCont)
+		d.kill()
+		d.store.Close()
+	}
+	for _, p := range w.proxies {
+		p.Close()
+	}
+	for _, r := range w.runners {
+		r.Close()
+	}
+	if w.store != nil {
+		w.store.Close()
+	}
+	if w.api != nil {
+		w.api.Close()
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -25,6 +26,7 @@
 	Mute      bool // takes a request and answers nothing
 	NoLength  bool // answers without a length, and closes the connection
 	CutAnswer bool // breaks a whole answer off
+	Lie       bool // runs one request in ten and says that it did not
 }
 
 // Ran is a request that a Runner has run.
@@ -42,8 +44,9 @@
 // an engine that answers with a stream of numbered events.
 type Runner struct {
 	Instance string
-	Events   int           // of a stream; 0 for a plain service
-	Pace     time.Duration // between two events, or of a plain call
+	Events   int            // of a stream; 0 for a plain service
+	Pace     time.Duration  // between two events, or of a plain call
+	ByPath   map[string]int // events by the path's beginning, where they differ; nil for Events alone
 
 	server *http.Server
 	addr   string
@@ -83,8 +86,13 @@
 
 // Entry returns the runner's row in the store.
 func (r *Runner) Entry(service, zone, state string) []byte {
+	return r.EntryAt(r.addr, service, zone, state)
+}
+
+// EntryAt is Entry for a runner that is reached at another address.
+func (r *Runner) EntryAt(address, service, zone, state string) []byte {
 	b, _ := json.Marshal(map[string]any{ // a map of strings and numbers always encodes
-		"service": service, "address": r.addr, "zone": zone, "state": state, "slots": 8, "sequence": 1,
+		"service": service, "address": address, "zone": zone, "state": state, "slots": 8, "sequence": 1,
 	})
 	return b
 }
@@ -112,6 +120,11 @@
 		return
 	}
 	at := r.begin(Ran{ID: id, Method: q.Method, Target: q.RequestURI, Body: string(body), Header: q.Header.Clone(), Instance: r.Instance})
+	if f.Lie && at%10 == 9 {
+		h.Set("Streambend-Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	h.Set("Streambend-Server-Signature", "signed by "+r.Instance)
 	switch {
 	case f.Mute:
@@ -125,8 +138,8 @@
 	case f.OtherID:
 		h.Set("Streambend-Request-Id", "another")
 	}
-	if r.Events > 0 {
-		r.stream(w, q, f, at)
+	if n := r.eventsOf(q.URL.Path); n > 0 {
+		r.stream(w, q, f, at, n)
 		return
 	}
 	time.Sleep(r.Pace)
@@ -168,11 +181,21 @@
 	}
 }
 
-func (r *Runner) stream(w http.ResponseWriter, q *http.Request, f RunnerFault, at int) {
+// eventsOf returns how many events the answer to a path has.
+func (r *Runner) eventsOf(path string) int {
+	for prefix, n := range r.ByPath {
+		if strings.HasPrefix(path, prefix) {
+			return n
+		}
+	}
+	return r.Events
+}
+
+func (r *Runner) stream(w http.ResponseWriter, q *http.Request, f RunnerFault, at, events int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id")) // absent: from the start
 	flush := http.NewResponseController(w)
-	for i := from + 1; i <= r.Events; i++ {
+	for i := from + 1; i <= events; i++ {
 		if f.CutAfter > 0 && i > f.CutAfter {
 			if f.CutEvent {
 				fmt.Fprintf(w, "id: %d\nda", i)
