--- a/conn/member.go
+++ b/conn/member.go
@@ -34,6 +34,7 @@
 	Zone    string      `codec:"z"`
 	State   MemberState `codec:"s,omitempty"`
 	Refuted int         `codec:"r,omitempty"` // how often it has denied a suspicion
+	Power   int         `codec:"p,omitempty"` // its share of a core in per cent; 0 if not told
 }
 
 // newer reports whether a replaces b.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -89,7 +89,7 @@
 	d := &Daemon{network: n, log: log, meters: newMeters(), quotas: NewQuotas(site.First)}
 	d.site.Store(&site)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
-	d.Self = conn.Member{Name: site.Name, Start: time.Now().UnixMilli(), Address: site.PeerAddr, Zone: site.Zone}
+	d.Self = conn.Member{Name: site.Name, Start: time.Now().UnixMilli(), Address: site.PeerAddr, Zone: site.Zone, Power: int(100 * site.CPUShare)}
 	d.outside = seam.HTTPClient(n, 0)
 	d.store = platform.NewStore(site.Store, d.outside)
 	d.table = &platform.Table{Store: d.store, Name: ownTable}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -55,8 +55,9 @@
 	Value []byte `codec:"v"`
 }
 
-// Reader returns the daemon of a zone that reads the store for the others, by
-// rendezvous, or false if the zone has none.
+// Reader returns the daemon of a zone that reads the store for the others, or
+// false if the zone has none: of those with the most processor time the first by
+// rendezvous, as all others of the zone ask it some times a second.
 func Reader(zone string, members []conn.Member) (conn.Member, bool) {
 	var best conn.Member
 	var most uint64
@@ -64,7 +65,8 @@
 		if m.Zone != zone || m.State != conn.MemberAlive {
 			continue
 		}
-		if h := xxhash.Sum64String(m.Name) | 1; h > most {
+		h := xxhash.Sum64String(m.Name) | 1
+		if most == 0 || m.Power > best.Power || m.Power == best.Power && h > most {
 			best, most = m, h
 		}
 	}
--- a/entry/tally_test.go
+++ b/entry/tally_test.go
@@ -88,3 +88,15 @@
 	_, ok = q.Admit(start, team, 20, 1)
 	assert.True(t, ok)
 }
+
+func TestTheStrongestDaemonOfAZoneReads(t *testing.T) {
+	members := []conn.Member{
+		{Name: "a", Zone: "x", Power: 19}, {Name: "b", Zone: "x", Power: 80}, {Name: "c", Zone: "x", Power: 80, State: conn.MemberSuspect},
+		{Name: "d", Zone: "y", Power: 90},
+	}
+	r, ok := entry.Reader("x", members)
+	assert.True(t, ok)
+	assert.Equal(t, "b", r.Name)
+	_, ok = entry.Reader("z", members)
+	assert.False(t, ok)
+}
