--- a/entry/scale.go
+++ b/entry/scale.go
@@ -60,6 +60,7 @@
 	Live    map[ScaleKind]int // that take requests
 	Coming  map[ScaleKind]int // that are ordered and still start
 	Need    float64           // endpoints that would work all the time; negative while not known
+	Dry     bool              // reclaimable endpoints were refused lately
 	Idle    bool              // the system has just begun, and nothing is asked of the service yet
 }
 
@@ -85,7 +86,11 @@
 		wantAll = max(int(math.Ceil(s.Need/firmUse)), len(zones)*s.Scaling.Least)
 	}
 	out := planSpot(s, zones, wantSpot)
-	firm := max(0, wantAll-spot)
+	sure := spot
+	if s.Dry {
+		sure -= s.largestZone(zones) // it may be the next to go, and nothing takes its place in time
+	}
+	firm := max(0, wantAll-sure)
 	if s.Need < 0 && !s.Idle {
 		return s.atLeastLive(out, zones)
 	}
@@ -95,6 +100,14 @@
 	return append(out, planFirm(s, zones, firm)...)
 }
 
+// largestZone returns the most reclaimable endpoints that one zone has.
+func (s ScaleState) largestZone(zones []string) (most int) {
+	for _, z := range zones {
+		most = max(most, s.Live[ScaleKind{z, true}])
+	}
+	return most
+}
+
 // atLeastLive keeps what is there, for a holder that does not know yet what is
 // asked of the service.
 func (s ScaleState) atLeastLive(plan []ScaleOrder, zones []string) []ScaleOrder {
@@ -282,7 +295,7 @@
 			coming[k] = o.count - live[k]
 		}
 	}
-	plan := PlanScale(ScaleState{Scaling: *b.Scaling, Base: s.base, Live: live, Coming: coming, Need: need, Idle: !asked.seen && x.d.Site().First})
+	plan := PlanScale(ScaleState{Scaling: *b.Scaling, Base: s.base, Live: live, Coming: coming, Need: need, Dry: len(s.spell) > 0, Idle: !asked.seen && x.d.Site().First})
 	return s.settle(now, plan, live, asked.seen)
 }
 
--- a/entry/scale_test.go
+++ b/entry/scale_test.go
@@ -55,6 +55,18 @@
 	assert.Equal(t, 4, by[firm("b")])
 }
 
+func TestWhileNoneAreToBeHadTheNextZoneIsBorne(t *testing.T) {
+	s := entry.ScaleState{
+		Scaling: scaling(), Base: map[string]int{"a": 3, "b": 3, "c": 3, "d": 3}, Need: 3,
+		Live: map[entry.ScaleKind]int{spot("a"): 3, spot("b"): 3, spot("d"): 1},
+	}
+	_, _, firms := counts(entry.PlanScale(s))
+	assert.Zero(t, firms, "seven are enough for six")
+	s.Dry = true
+	_, _, firms = counts(entry.PlanScale(s))
+	assert.Equal(t, 2, firms, "four would be left without the largest zone")
+}
+
 func TestANewHolderTakesNothingAwayBeforeItKnowsTheDemand(t *testing.T) {
 	live := map[entry.ScaleKind]int{spot("a"): 6, spot("b"): 5, firm("c"): 2}
 	by, _, _ := counts(entry.PlanScale(entry.ScaleState{
--- a/request/lines.go
+++ b/request/lines.go
@@ -3,6 +3,7 @@
 package request
 
 import (
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,7 +14,7 @@
 // fields are what each of a request's log lines says of it.
 func (r *run) fields(now time.Time) logrus.Fields {
 	return logrus.Fields{
-		"request": r.r.ID, "service": r.work.Pool.Service, "route": r.r.Route.Name, "team": r.r.Team,
+		"request": r.r.ID, "service": strings.TrimPrefix(r.work.Pool.Service, "/"), "route": r.r.Route.Name, "team": r.r.Team,
 		"attempt": r.attempts, "left_ms": r.r.Deadline.Sub(now).Milliseconds(), "age_ms": now.Sub(r.r.Arrived).Milliseconds(),
 	}
 }
--- a/request/target.go
+++ b/request/target.go
@@ -156,10 +156,14 @@
 	return t.class, int(t.load.Load())
 }
 
-// reportAge returns how long ago the endpoint's load was last reported.
+// reportAge returns how long ago the endpoint's load was last reported, or less
+// than 0 if it never was.
 func (t *Target) reportAge(now time.Time) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.at.IsZero() {
+		return -time.Millisecond
+	}
 	return now.Sub(t.at)
 }
 
--- a/version/catalog.go
+++ b/version/catalog.go
@@ -59,12 +59,9 @@
 // Backend is a service as the catalog describes it.
 type Backend struct {
 	Name        string
-	HealthPath  string
-	Connections int // that one endpoint takes from all callers together
 	Engine      bool
 	Slots       int      // requests that an engine runs together
 	CacheTokens int      // memory of an engine, in tokens
-	Moves       bool     // engines hand running requests to each other
 	Scaling     *Scaling // nil where the number is not ours to choose
 }
 
@@ -72,8 +69,8 @@
 type Tenant struct {
 	Name        string
 	Keys        []string
-	Priority    int     // goes before the route's if HasPriority
-	HasPriority bool    //
+	Priority    int // goes before the route's if HasPriority
+	HasPriority bool
 	Rate        float64 // a second, in Tokens or requests; 0 for no limit
 	Burst       float64 // on top
 	Tokens      bool    // the limit counts tokens rather than requests
