--- a/entry/scale.go
+++ b/entry/scale.go
@@ -27,9 +27,9 @@
 	// dryMost is what that time grows to while refusals go on.
 	dryMost = 5 * time.Second
 	// countBeats is how many heartbeats after the first list of endpoints they
-	// are counted: each writes itself to the store once in a heartbeat, and all
-	// were just started where the daemons were.
-	countBeats = 1.5
+	// are counted: all were just started where the daemons were, and the last was
+	// seen to write itself to the store 2.4 heartbeats after that list.
+	countBeats = 2.7
 	// spotUse and firmUse are the shares of their time that engines are to spend
 	// reading prompts. Reclaimable ones are cheap, so there are enough of them
 	// that a zone's loss is borne; those that cannot be reclaimed only keep the
