--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -270,11 +270,10 @@
 	}
 	req.GetBody = nil // a request is sent once, so that its id is counted once
 	req.Host = host
-	req.Header.Set("Streambend-Request-Id", id)
-	req.Header.Set("Streambend-Deadline-Milliseconds", "5000")
-	req.Header.Set("Streambend-Token-Counts", "900,60")
-	req.Header.Set("Streambend-Prompt-Prefix", fmt.Sprintf("a1:300,%x:400,%x:200", 16+rng.IntN(20), rng.Uint32()))
-	req.Header.Set("Api-Key", key)
+	standin.CallerHead{
+		ID: id, Key: key, Wait: 5 * time.Second, Tokens: "900,60",
+		Prompt: fmt.Sprintf("a1:300,%x:400,%x:200", 16+rng.IntN(20), rng.Uint32()),
+	}.Write(req.Header)
 	w.check.send(id, k, dead)
 	began := time.Now()
 	resp, err := client.Do(req)
@@ -284,7 +283,7 @@
 	}
 	defer resp.Body.Close()
 	b, err := io.ReadAll(resp.Body)
-	w.check.answer(id, d, began, resp.StatusCode, string(b), resp.Header.Get("Streambend-Server-Signature"), err)
+	w.check.answer(id, d, began, resp.StatusCode, string(b), standin.SignedBy(resp.Header), err)
 	return err == nil
 }
 
