process: a list of boxes that goes back in time ends no endpoint

Boxes that it did not show yet were taken as ended, for good. A list with a lower number than the one at hand is now left out.

--- /dev/null
+++ b/internal/trial/list_test.go
@@ -0,0 +1,40 @@
+// SPDX-License-Identifier: MIT
+
+package trial_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"streambend.example/internal/trial"
+	"streambend.example/process"
+	"streambend.example/seam"
+)
+
+// backList shows the list of the very beginning again, a few seconds on.
+type backList struct {
+	seam.BoxList
+	began time.Time
+}
+
+// List implements seam.BoxList.
+func (l backList) List(ctx context.Context, since int64) (seam.BoxPage, error) {
+	if at := time.Since(l.began); at > 3*time.Second && at < 6*time.Second {
+		return seam.BoxPage{Seq: 1, Boxes: []seam.Box{}}, nil
+	}
+	return l.BoxList.List(ctx, since)
+}
+
+func TestAListThatGoesBackEndsNoEndpoint(t *testing.T) {
+	o := trial.DefaultOptions()
+	o.Rate, o.Span, o.Script = 0.3, 8*time.Second, []trial.Step{}
+	o.Seams.Platform = func(p process.Platform) process.Platform {
+		p.Boxes = backList{p.Boxes, time.Now()}
+		return p
+	}
+	r := virtual(t, o)
+	assert.True(t, r.Held(), "%v", r.Promises())
+}
--- a/process/fleet.go
+++ b/process/fleet.go
@@ -85,11 +85,23 @@
 	if err != nil || page.Boxes == nil {
 		return period
 	}
+	if f.take(page) {
+		f.resync()
+	}
+	return period
+}
+
+// take takes a list in, and reports whether it is newer than the one at hand. The
+// list lags, and what it shows may go back in time: boxes that an older one does
+// not show yet have not ended.
+func (f *fleet) take(page seam.BoxPage) bool {
 	f.mu.Lock()
+	defer f.mu.Unlock()
+	if page.Seq < f.seq {
+		return false
+	}
 	f.seq, f.boxes = page.Seq, page.Boxes
-	f.mu.Unlock()
-	f.resync()
-	return period
+	return true
 }
 
 // resync brings the pools in line with the list and the configuration.
