entry: hold lapsed entries until two seconds after the store's return

Test: TestEntriesThatComeBackLateAfterAnOutageLoseNothing, red at 1.75 and 2 s before, green after. Ruled out: a longer hold without the return's moment, which would keep an endpoint that has gone for longer than the bound on new work allows, as the last failed call may lie well before the return.

--- a/entry/runners.go
+++ b/entry/runners.go
@@ -19,8 +19,9 @@
 	// endpoints. It bounds how late a silent loss of the store is noticed.
 	runnerWait = 1500 * time.Millisecond
 	// lapseHold is how long after the store's return an endpoint whose entry is
-	// missing is still used: entries that lapsed meanwhile are back by then.
-	lapseHold = 1800 * time.Millisecond
+	// missing is still used: entries that lapsed meanwhile are back within about
+	// 2 s, and a change takes some time to come here.
+	lapseHold = 2300 * time.Millisecond
 )
 
 // runnerKeeper keeps the pools in line with the endpoints' entries in the store.
@@ -34,13 +35,15 @@
 	rows     map[string][]byte // their entries, for other daemons
 	missing  map[string]bool   // entries that went while the store was away
 	readAt   time.Time         // of the first whole list; zero before
-	failedAt time.Time         // the last time the store did not answer
+	failedAt time.Time         // the last time the store did not answer, or its return after that
+	away     bool              // the store has not answered since then
 }
 
 // follow keeps up with the store until ctx ends.
 func (k *runnerKeeper) follow(ctx context.Context) {
 	f := feeder{d: k.d, table: platform.RunnerTable, wait: runnerWait, name: "endpoints"}
 	f.run(ctx, k.current, func(now, _ time.Time, p platform.Page, whole bool) error {
+		k.storeBack(now)
 		k.take(now, p.Version, p.Rows, whole)
 		return nil
 	})
@@ -153,7 +156,17 @@
 func (k *runnerKeeper) storeFailed(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.failedAt = now
+	k.failedAt, k.away = now, true
+}
+
+// storeBack notes that the store answers, from which on lapsed entries have
+// lapseHold to come back.
+func (k *runnerKeeper) storeBack(now time.Time) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.away {
+		k.failedAt, k.away = now, false
+	}
 }
 
 // current returns the version of the store up to which the list is complete.
--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -68,6 +68,24 @@
 	})
 }
 
+func TestEntriesThatComeBackLateAfterAnOutageLoseNothing(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		r := w.runner(plain, "a", "i-1", 0)
+		w.store.SetFault(standin.RowsFault{Busy: true})
+		time.Sleep(2500 * time.Millisecond)
+		w.store.Drop(platform.RunnerTable, "", "i-1")
+		w.store.SetFault(standin.RowsFault{})
+		for i := range 8 { // up to 2 s after the return its entry may still come back
+			time.Sleep(250 * time.Millisecond)
+			assert.Equal(t, http.StatusOK, w.ask(0, http.MethodPost, "/write/", fmt.Sprint("id-", i)).status, "after %d quarters of a second", i+1)
+		}
+		ran := len(r.Ran())
+		time.Sleep(800 * time.Millisecond)
+		assert.Equal(t, http.StatusServiceUnavailable, w.ask(0, http.MethodPost, "/write/", "id-late").status, "it is gone by then")
+		assert.Len(t, r.Ran(), ran)
+	})
+}
+
 func TestARevokedKeyIsDeadAtABoxThatIsCutOff(t *testing.T) {
 	inWorld(t, 1, func(w *world) {
 		w.runner(plain, "a", "i-1", 0)
