entry: order endpoints for what all daemons run

Daemons now tell with their tallies how many requests they run. Tests: TestManyDaemonsOrderForWhatAllOfThemRun, TestRequestsThatRunAddUpOverLivingDaemons. Ruled out: reports of the engines, which cost a probe each.

--- a/conn/member.go
+++ b/conn/member.go
@@ -83,14 +83,15 @@
 	Sends   []byte          `codec:"x,omitempty"` // prompts sent to engines, in the form of their package
 }
 
-// Tally is what one daemon has counted since its start. Its fields only grow,
-// so that the newest word of a daemon holds all earlier ones.
+// Tally is what one daemon has counted since its start, and what it runs. The
+// newest word of a daemon stands for all earlier ones.
 type Tally struct {
 	Daemon  string                   `codec:"d"`
 	Start   int64                    `codec:"i"`           // of the daemon, as in Member
 	Seq     uint64                   `codec:"s"`           // rises with each change
 	Admit   map[string]int64         `codec:"a,omitempty"` // units of its limit that each team was admitted
 	Windows map[int64]map[string]int `codec:"w,omitempty"` // requests of each team begun in a usage window
+	Running map[string]int           `codec:"r,omitempty"` // requests at the endpoints of each service now
 }
 
 // message is what crosses a link. A flooded one has a sequence number.
--- a/entry/scale.go
+++ b/entry/scale.go
@@ -156,11 +156,9 @@
 	asked := x.demand[b.Name]
 	need := -1.0
 	if asked.seen {
-		load, places := pool.Busy()
 		need = asked.need
-		if places > 0 && len(pool.Targets()) > 0 {
-			slots := float64(places) / float64(len(pool.Targets()))
-			need = math.Max(need, firmUse/placeUse*float64(load)/slots)
+		if slots := pool.Slots(); slots > 0 {
+			need = math.Max(need, firmUse/placeUse*float64(x.d.tallies.Running(now, pool.Service))/slots)
 		}
 	}
 	coming := make(map[ScaleKind]int)
--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -293,6 +293,27 @@
 	})
 }
 
+func TestManyDaemonsOrderForWhatAllOfThemRun(t *testing.T) {
+	inWorld(t, 16, func(w *world) {
+		w.runner(engines, "a", "i-1", 400) // 8 s a stream
+		time.Sleep(4 * time.Second)
+		for i := range 16 {
+			go w.ask(i, http.MethodPost, "/digest/", fmt.Sprint("id-", i),
+				"Streambend-Token-Counts", "100,10", "Streambend-Prompt-Prefix", fmt.Sprintf("%x:50,%x:50", 7919*i+1, 104729*i+1))
+		}
+		time.Sleep(3 * time.Second)
+		ordered := make(map[string]int)
+		for _, c := range w.api.Calls("/scale") {
+			if o := c.Order(); o.Spot {
+				ordered[o.Zone] = o.Count
+			}
+		}
+		// 16 requests on engines of 8 places that are to be 0.7 full, times 0.55
+		// over 0.25 for what can be reclaimed.
+		assert.Equal(t, map[string]int{"a": 4, "b": 3}, ordered)
+	})
+}
+
 func TestManyDaemonsHoldALimitTogether(t *testing.T) {
 	inWorld(t, 16, func(w *world) {
 		w.runner(plain, "a", "i-1", 0)
--- a/entry/tally.go
+++ b/entry/tally.go
@@ -70,6 +70,33 @@
 	t.self.Seq++
 }
 
+// SetRunning notes how many requests are at the endpoints of each service.
+func (t *Tallies) SetRunning(running map[string]int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !maps.Equal(t.self.Running, running) {
+		t.self.Running = running
+		t.self.Seq++
+	}
+}
+
+// runningLife is how long the word of a daemon on what it runs is believed: some
+// exchanges may be missed, but a dead daemon's requests are not waited for.
+const runningLife = 3 * time.Second
+
+// Running returns how many requests all daemons have at a service's endpoints.
+func (t *Tallies) Running(now time.Time, service string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := t.self.Running[service]
+	for _, h := range t.others {
+		if now.Sub(h.at) < runningLife {
+			n += h.tally.Running[service]
+		}
+	}
+	return n
+}
+
 // News returns what a neighbour has not been sent yet.
 func (t *Tallies) News(neighbour string) []conn.Tally {
 	t.mu.Lock()
--- a/entry/tally_test.go
+++ b/entry/tally_test.go
@@ -45,6 +45,19 @@
 	assert.Equal(t, []entry.Admitted{{Team: "team", Units: 9}}, exchange(start, young, old, "young", "old"), "a daemon that is younger tells of its time alone")
 }
 
+func TestRequestsThatRunAddUpOverLivingDaemons(t *testing.T) {
+	a, b := tallies("a", 1), tallies("b", 1)
+	a.SetRunning(map[string]int{"engines": 7})
+	b.SetRunning(map[string]int{"engines": 2})
+	exchange(start, a, b, "a", "b")
+	assert.Equal(t, 9, b.Running(start, "engines"))
+	assert.Zero(t, b.Running(start, "plain"))
+	a.SetRunning(map[string]int{"engines": 3})
+	exchange(start.Add(time.Second), a, b, "a", "b")
+	assert.Equal(t, 5, b.Running(start.Add(time.Second), "engines"))
+	assert.Equal(t, 2, b.Running(start.Add(5*time.Second), "engines"), "a has fallen silent")
+}
+
 func TestWindowsAddUpOverAllDaemonsAndStarts(t *testing.T) {
 	a, again, b := tallies("a", 1), tallies("a", 2), tallies("b", 1)
 	for range 3 {
--- a/entry/tallyshare.go
+++ b/entry/tallyshare.go
@@ -35,8 +35,20 @@
 	return !ok || r.Name == d.Self.Name
 }
 
+// countRunning brings this daemon's tally of what it runs up to date.
+func (d *Daemon) countRunning() {
+	running := make(map[string]int)
+	for _, k := range d.Server.Works.All() {
+		if n := k.Pool.InFlight(); n > 0 {
+			running[k.Pool.Service] = n
+		}
+	}
+	d.tallies.SetRunning(running)
+}
+
 // gossip tells others of the tallies that are news to them.
 func (d *Daemon) gossip(time.Time) {
+	d.countRunning()
 	if !d.many() {
 		for _, name := range d.Hub.Mesh.NeighbourNames() {
 			if news := d.tallies.News(name); len(news) > 0 {
--- a/request/pool.go
+++ b/request/pool.go
@@ -197,8 +197,19 @@
 	return p.cost.Counted()
 }
 
-// Busy returns the requests that run or wait at the endpoints, and the places.
-func (p *Pool) Busy() (load, places int) {
+// InFlight returns how many requests of this daemon are at the endpoints.
+func (p *Pool) InFlight() int {
+	n := 0
+	for _, t := range p.Targets() {
+		n += int(t.mine.Load())
+	}
+	return n
+}
+
+// Slots returns how many requests an endpoint runs together, on average over
+// those that do not leave, or 0 if there is none.
+func (p *Pool) Slots() float64 {
+	places, count := 0, 0
 	for _, t := range p.Targets() {
 		if _, leaving := t.Leaving(); leaving {
 			continue
@@ -206,9 +217,9 @@
 		t.mu.Lock()
 		places += t.batch
 		t.mu.Unlock()
-		load += int(t.load.Load())
+		count++
 	}
-	return load, places
+	return float64(places) / float64(max(count, 1))
 }
 
 // hitKey is a prefix on an endpoint.
