entry: another zone's reader stands in; many daemons do not storm the store

Cause: while its reader failed, or the store was away, each daemon of a zone read the store for itself, with pauses of 50 to 400 ms. Now the other zones' readers are asked in turn, a daemon reads for itself when all of them fail, and then knocks rarely. Two readers that fail one after the other are taken for an outage, so that lapsed entries are held by those too that have not asked the store. Ruled out: no reading at all by daemons that are not readers, which a box cut off from the others needs.

--- a/entry/catalog.go
+++ b/entry/catalog.go
@@ -23,6 +23,11 @@
 	// firstPause and lastPause bound the pause after a failed call.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
+	// aloneFirstPause and aloneLastPause bound it at a daemon that is not its
+	// zone's reader: it begins to look at a catalog's age of 2 s, and looks twice
+	// more before the bound on revoked keys of 5 s makes it unready.
+	aloneFirstPause = 500 * time.Millisecond
+	aloneLastPause  = 1500 * time.Millisecond
 	// idlePause is how often a daemon that leaves the store to others looks
 	// whether it still can.
 	idlePause = 100 * time.Millisecond
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -69,8 +69,8 @@
 	stopping   atomic.Bool
 	ready      atomic.Bool
 	feedsDown  atomic.Int32 // feeds of the store that fail now
-	readerDown atomic.Bool  // the zone's reader has said that its feeds fail, or does not answer
-	asked      int          // rounds of questions to other daemons; of one goroutine
+	readerTurn ReaderTurn
+	asked      int // rounds of questions to daemons that are no readers; of one goroutine
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/entry/feeder.go
+++ b/entry/feeder.go
@@ -27,7 +27,7 @@
 func (f *feeder) run(ctx context.Context, known func() int64, take func(now, sent time.Time, p platform.Page, whole bool) error) {
 	var at int64
 	whole, up := true, true
-	pause := firstPause
+	var pause time.Duration
 	for ctx.Err() == nil {
 		if !f.d.readsStore(time.Now()) {
 			sleep(ctx, idlePause)
@@ -43,7 +43,7 @@
 			err = take(now, sent, p, whole)
 		}
 		if err == nil {
-			at, whole, pause = p.Version, false, firstPause
+			at, whole, pause = p.Version, false, 0
 			if !up {
 				up = true
 				f.d.feedsDown.Add(-1)
@@ -62,11 +62,22 @@
 			f.d.log.WithFields(logrus.Fields{"part": f.name, "version": at}).Warnf("store lost: %v", err)
 		}
 		f.d.storeFailed(now)
+		first, last := f.pauses()
+		pause = min(max(2*pause, first), last)
 		sleep(ctx, pause/2+rand.N(pause/2+1))
-		pause = min(2*pause, lastPause)
 	}
 }
 
+// pauses returns the first and the longest pause after a failed call. Where
+// daemons are many the readers knock for all; the others only look whether they
+// are cut off alone.
+func (f *feeder) pauses() (first, last time.Duration) {
+	if f.d.many() && !f.d.isReader() {
+		return aloneFirstPause, aloneLastPause
+	}
+	return firstPause, lastPause
+}
+
 func (f *feeder) ask(ctx context.Context, at int64, whole bool) (platform.Page, error) {
 	if !whole {
 		ctx, cancel := context.WithTimeout(ctx, f.wait+answerLimit)
--- /dev/null
+++ b/entry/outage_test.go
@@ -0,0 +1,107 @@
+// SPDX-License-Identifier: MIT
+
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"streambend.example/conn"
+	"streambend.example/entry"
+	"streambend.example/internal/standin"
+	"streambend.example/platform"
+)
+
+// storeCalls returns how often the store was read and written.
+func (w *world) storeCalls() int {
+	return w.store.Calls("/streambend/rows-feed") + w.store.Calls("/streambend/rows-get") + w.store.Calls("/streambend/rows-tx")
+}
+
+func TestManyDaemonsDoNotStormAStoreThatIsDown(t *testing.T) {
+	inZones(t, 24, []string{"a", "b", "c", "d"}, func(w *world) {
+		w.runner(plain, "a", "i-1", 0)
+		time.Sleep(3 * time.Second)
+		before := w.storeCalls()
+		w.store.SetFault(standin.RowsFault{Busy: true})
+		time.Sleep(4500 * time.Millisecond)
+		w.store.SetFault(standin.RowsFault{})
+		assert.Less(t, w.storeCalls()-before, 450, "the readers knock, the others look now and then")
+		time.Sleep(1200 * time.Millisecond)
+		for i := range w.daemons {
+			assert.Equal(t, http.StatusOK, w.ask(i, http.MethodPost, "/write/", fmt.Sprint("id-", i)).status, "daemon %d is back", i)
+		}
+	})
+}
+
+func TestEveryDaemonHoldsWhatLapsesInAnOutage(t *testing.T) {
+	inZones(t, 24, []string{"a", "b", "c", "d"}, func(w *world) {
+		r := w.runner(plain, "a", "i-1", 0)
+		time.Sleep(3 * time.Second)
+		w.store.SetFault(standin.RowsFault{Silent: true})
+		time.Sleep(4200 * time.Millisecond)
+		w.store.Drop(platform.RunnerTable, "", "i-1")
+		w.store.SetFault(standin.RowsFault{})
+		time.Sleep(1500 * time.Millisecond)
+		for i := range w.daemons {
+			assert.Equal(t, http.StatusOK, w.ask(i, http.MethodPost, "/write/", fmt.Sprint("id-", i)).status, "daemon %d", i)
+		}
+		assert.Len(t, r.Ran(), len(w.daemons))
+	})
+}
+
+func TestAnotherZonesReaderStandsIn(t *testing.T) {
+	inZones(t, 24, []string{"a", "b", "c", "d"}, func(w *world) {
+		time.Sleep(3 * time.Second)
+		reader, _ := entry.Reader("a", w.daemons[0].Hub.Mesh.Members())
+		w.store.SetFault(standin.RowsFault{Away: map[string]bool{reader.Name: true}})
+		time.Sleep(time.Second)
+		before := w.storeCalls()
+		time.Sleep(5 * time.Second)
+		// Three zones' readers with two feeds each, and some tries of the fourth.
+		assert.Less(t, w.storeCalls()-before, 150, "its zone does not read for itself")
+		for i := range w.daemons {
+			assert.True(t, w.ready(i), "daemon %d", i)
+		}
+	})
+}
+
+func TestReadersAreAskedInTurn(t *testing.T) {
+	var turn entry.ReaderTurn
+	assert.Equal(t, 0, turn.Next(3))
+	turn.Heard(0, false)
+	turn.Heard(0, false)
+	assert.Equal(t, 1, turn.Failed(), "the same one twice says nothing more")
+	assert.Equal(t, 1, turn.Next(3))
+	for range 9 {
+		turn.Heard(1, true)
+	}
+	assert.Equal(t, 1, turn.Next(3), "it does well")
+	turn.Heard(1, true)
+	assert.Equal(t, 0, turn.Next(3), "the zone's own is tried again")
+	assert.Zero(t, turn.Failed())
+	turn.Heard(0, false)
+	assert.Equal(t, 0, turn.Next(1), "the others have gone")
+}
+
+func TestADaemonsOwnZoneIsAskedFirst(t *testing.T) {
+	var members []conn.Member
+	for i := range 12 {
+		members = append(members, conn.Member{Name: fmt.Sprint("daemon-", i), Zone: string(rune('a' + i%3))})
+	}
+	own, _ := entry.Reader("b", members)
+	for _, m := range members {
+		readers := entry.ReadersFor(m, members)
+		if m.Zone == "b" && m.Name != own.Name {
+			assert.Equal(t, own.Name, readers[0])
+			assert.Len(t, readers, 3)
+		}
+		if m.Name == own.Name {
+			assert.Len(t, readers, 2)
+			assert.NotContains(t, readers, own.Name)
+		}
+	}
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -6,8 +6,6 @@
 	"context"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"streambend.example/conn"
 	"streambend.example/platform"
 )
@@ -55,46 +53,31 @@
 	Value []byte `codec:"v"`
 }
 
-// Reader returns the daemon of a zone that reads the store for the others, or
-// false if the zone has none: of those with the most processor time the first by
-// rendezvous, as all others of the zone ask it some times a second.
-func Reader(zone string, members []conn.Member) (conn.Member, bool) {
-	var best conn.Member
-	var most uint64
-	for _, m := range members {
-		if m.Zone != zone || m.State != conn.MemberAlive {
-			continue
-		}
-		h := xxhash.Sum64String(m.Name) | 1
-		if most == 0 || m.Power > best.Power || m.Power == best.Power && h > most {
-			best, most = m, h
-		}
-	}
-	return best, most > 0
-}
-
 // readsStore reports whether this daemon reads the store itself: it is its
-// zone's reader, or what it hears from others is too old.
+// zone's reader, all readers fail, or what it hears from others is too old.
 func (d *Daemon) readsStore(now time.Time) bool {
-	if age, ok := d.catalog.fresh.Age(now); !ok || age > peerAge || !d.runners.known() || d.readerDown.Load() {
+	if age, ok := d.catalog.fresh.Age(now); !ok || age > peerAge || !d.runners.known() {
 		return true
 	}
-	return d.isReader()
+	return d.isReader() || d.readerTurn.Failed() >= len(d.readers())
 }
 
-// askPeers asks another daemon, unless this one reads the store with success.
+// readers returns the readers that this daemon asks.
+func (d *Daemon) readers() []string { return ReadersFor(d.Self, d.Hub.Mesh.Members()) }
+
+// askPeers asks a reader, unless this daemon reads the store with success.
 func (d *Daemon) askPeers(ctx context.Context, now time.Time) {
 	age, ok := d.catalog.fresh.Age(now)
-	r, found := d.reader()
-	if found && r.Name == d.Self.Name && ok && age < peerAge {
+	old := !ok || age >= peerAge
+	if d.isReader() && !old {
 		return
 	}
-	if ok && age < peerAge && found {
-		d.run(func() { d.readerDown.Store(!d.askPeer(ctx, r.Name)) })
-		return
+	if readers := d.readers(); len(readers) > 0 {
+		at := d.readerTurn.Next(len(readers))
+		d.run(func() { d.hearReader(at, d.askPeer(ctx, readers[at])) })
 	}
 	others := d.others()
-	if len(others) == 0 {
+	if !old || len(others) == 0 {
 		return
 	}
 	// Each in turn: whoever is cut off may be so with its zone.
@@ -103,6 +86,18 @@
 	d.run(func() { d.askPeer(ctx, m.Name) })
 }
 
+// hearReader takes in whether a reader reads the store with success. When one
+// after the other does not, the store is away for all of them, and entries lapse.
+func (d *Daemon) hearReader(at int, ok bool) {
+	d.readerTurn.Heard(at, ok)
+	switch {
+	case ok:
+		d.runners.storeBack(time.Now())
+	case d.readerTurn.Failed() >= outageReaders:
+		d.storeFailed(time.Now())
+	}
+}
+
 // askPeer asks one daemon, and reports whether it reads the store with success.
 func (d *Daemon) askPeer(ctx context.Context, name string) bool {
 	ctx, cancel := context.WithTimeout(ctx, peerLimit)
--- /dev/null
+++ b/entry/readers.go
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"github.com/cespare/xxhash/v2"
+
+	"streambend.example/conn"
+)
+
+// Reader returns the daemon of a zone that reads the store for the others, or
+// false if the zone has none: of those with the most processor time the first by
+// rendezvous, as all others of the zone ask it some times a second.
+func Reader(zone string, members []conn.Member) (conn.Member, bool) {
+	var best conn.Member
+	var most uint64
+	for _, m := range members {
+		if m.Zone != zone || m.State != conn.MemberAlive {
+			continue
+		}
+		h := xxhash.Sum64String(m.Name) | 1
+		if most == 0 || m.Power > best.Power || m.Power == best.Power && h > most {
+			best, most = m, h
+		}
+	}
+	return best, most > 0
+}
+
+// otherReaders returns the readers of all zones but one.
+func otherReaders(zone string, members []conn.Member) []string {
+	zones := map[string]bool{zone: true}
+	var out []string
+	for _, m := range members {
+		if zones[m.Zone] {
+			continue
+		}
+		zones[m.Zone] = true
+		if r, ok := Reader(m.Zone, members); ok {
+			out = append(out, r.Name)
+		}
+	}
+	return out
+}
+
+// ReadersFor returns the readers that a daemon asks for what the store holds:
+// its own zone's first, unless it is that, then those of the other zones, in an
+// order of its own so that one that stands in is not asked by all.
+func ReadersFor(self conn.Member, members []conn.Member) []string {
+	others := otherReaders(self.Zone, members)
+	slices.SortFunc(others, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(self.Name+a), xxhash.Sum64String(self.Name+b))
+	})
+	if r, ok := Reader(self.Zone, members); ok && r.Name != self.Name {
+		return append([]string{r.Name}, others...)
+	}
+	return others
+}
+
+// returnAfter is after how many good answers of another zone's reader the own
+// zone's is asked again.
+const returnAfter = 10
+
+// outageReaders is how many readers in a row must have failed to be taken for
+// an outage of the store itself: one may just be cut off.
+const outageReaders = 2
+
+// ReaderTurn says which of some readers is asked next: the same as long as it
+// does well, else the next. The zero value begins with the first.
+type ReaderTurn struct {
+	mu    sync.Mutex
+	at    int
+	fails int // in a row, each another reader's
+	good  int // answers of the present reader
+}
+
+// Next returns the place of the reader to ask among count.
+func (t *ReaderTurn) Next(count int) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.at >= count {
+		t.at = 0
+	}
+	return t.at
+}
+
+// Heard takes in whether the reader at a place reads the store with success.
+func (t *ReaderTurn) Heard(at int, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case at != t.at:
+		// An answer that comes late says nothing of the present reader.
+	case !ok:
+		t.at++
+		t.fails++
+		t.good = 0
+	default:
+		t.fails = 0
+		if t.good++; t.good >= returnAfter {
+			t.at, t.good = 0, 0
+		}
+	}
+}
+
+// Failed returns how many readers in a row have failed.
+func (t *ReaderTurn) Failed() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.fails
+}
--- a/entry/tallyshare.go
+++ b/entry/tallyshare.go
@@ -65,22 +65,6 @@
 	}
 }
 
-// otherReaders returns the readers of all zones but one.
-func otherReaders(zone string, members []conn.Member) []string {
-	zones := map[string]bool{zone: true}
-	var out []string
-	for _, m := range members {
-		if zones[m.Zone] {
-			continue
-		}
-		zones[m.Zone] = true
-		if r, ok := Reader(m.Zone, members); ok {
-			out = append(out, r.Name)
-		}
-	}
-	return out
-}
-
 // swapTallies exchanges tallies with the reader of another zone.
 func (d *Daemon) swapTallies(name string) {
 	ctx, cancel := context.WithTimeout(d.ctx, peerLimit)
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -37,6 +37,7 @@
 	routes  []map[string]any
 	keys    []string
 	rate    float64
+	zones   []string // of the daemons, in turn
 }
 
 // The service names, hosts and keys of a world.
@@ -52,9 +53,16 @@
 
 // inWorld runs f in virtual time among so many daemons.
 func inWorld(t *testing.T, daemons int, f func(w *world)) {
+	t.Helper()
+	inZones(t, daemons, []string{"a"}, f)
+}
+
+// inZones is inWorld with the daemons in some zones.
+func inZones(t *testing.T, daemons int, zones []string, f func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
+		w.zones = zones
 		w.put()
 		for range daemons {
 			w.start()
@@ -67,7 +75,7 @@
 }
 
 func newWorld(t *testing.T) *world {
-	w := &world{t: t, net: standin.NewNet(), keys: []string{key}, rate: 0}
+	w := &world{t: t, net: standin.NewNet(), keys: []string{key}, rate: 0, zones: []string{"a"}}
 	var err error
 	w.store, err = standin.NewRows(w.net, storeAddress)
 	require.NoError(t, err)
@@ -121,14 +129,14 @@
 }
 
 func (w *world) startNamed(name string, i int) *entry.Daemon {
-	settings := fmt.Sprintf(`{"node_name": %q, "zone": "a", "ip_address": "10.0.0.%d",
+	settings := fmt.Sprintf(`{"node_name": %q, "zone": %q, "ip_address": "10.0.0.%d",
 		"listen_addresses": {"frontend": "10.0.0.%d:80", "ready": "10.0.0.%d:81", "control_plane": "10.0.0.%d:82"},
 		"limits": {"cpu_share": 0.4, "memory_mb": 284},
 		"bounds": {"drain_ms": 2000, "grace_period_s": 8, "configuration_ms": 2000, "revocation_ms": 5000, "strict_revocation": true,
 			"retry_budget_ratio": 0.2, "budget_window_s": 10, "retry_budget_slack": 56, "quota_window_s": 8, "lease_ms": 3000,
 			"usage_window_s": 5, "usage_lateness_s": 10},
 		"platform": {"address": %q}, "cloud_api": {"address": %q, "duties": ["usage_reporting", "scaling"], "duty_per_s": 50}}`,
-		name, i, i, i, i, w.store.Address(), w.api.Address())
+		name, w.zones[i%len(w.zones)], i, i, i, i, w.store.Address(), w.api.Address())
 	site, err := platform.ReadSite(strings.NewReader(settings))
 	require.NoError(w.t, err)
 	log := logrus.New()
