--- a/entry/catalog.go
+++ b/entry/catalog.go
@@ -28,6 +28,13 @@
 	// more before the bound on revoked keys of 5 s makes it unready.
 	aloneFirstPause = 500 * time.Millisecond
 	aloneLastPause  = 1500 * time.Millisecond
+	// settlePause is how long a daemon that has just read a table whole waits
+	// until it follows the changes: by then it may have heard that another daemon
+	// reads for it. changePause is the same after each change, since endpoints
+	// change many at a time; it is short beside the 2 s in which a change must
+	// be in force.
+	settlePause = 500 * time.Millisecond
+	changePause = 100 * time.Millisecond
 	// idlePause is how often a daemon that leaves the store to others looks
 	// whether it still can.
 	idlePause = 100 * time.Millisecond
--- a/entry/feeder.go
+++ b/entry/feeder.go
@@ -43,12 +43,19 @@
 			err = take(now, sent, p, whole)
 		}
 		if err == nil {
+			began := whole && at == 0
 			at, whole, pause = p.Version, false, 0
 			if !up {
 				up = true
 				f.d.feedsDown.Add(-1)
 				f.d.log.WithFields(logrus.Fields{"part": f.name, "version": at}).Info("store regained")
 			}
+			switch {
+			case began:
+				sleep(ctx, settlePause)
+			case len(p.Rows) > 0:
+				sleep(ctx, changePause)
+			}
 			continue
 		}
 		if errors.Is(err, platform.ErrHistoryGone) {
--- a/entry/members.go
+++ b/entry/members.go
@@ -14,8 +14,9 @@
 const (
 	// memberTable is the store's table of the daemons.
 	memberTable = "streambend-daemons"
-	// memberPeriod is how often the daemons' rows are read while some are
-	// reached, and seedPeriod while none is.
+	// memberPeriod is how often a reader reads the daemons' rows while some are
+	// reached, in case two groups of them know nothing of each other; seedPeriod
+	// is how often a daemon does that reaches none.
 	memberPeriod = 15 * time.Second
 	seedPeriod   = time.Second
 )
@@ -28,9 +29,12 @@
 		if !written {
 			written = d.writeMember(ctx)
 		}
-		d.readMembers(ctx)
+		alone := d.Hub.Mesh.Neighbours() == 0
+		if alone || !d.many() || d.isReader() {
+			d.readMembers(ctx)
+		}
 		pause := memberPeriod
-		if d.Hub.Mesh.Neighbours() == 0 {
+		if alone {
 			for _, a := range d.Site().Seeds {
 				d.Hub.Greet(time.Now(), a)
 			}
--- a/entry/outage_test.go
+++ b/entry/outage_test.go
@@ -105,3 +105,18 @@
 		}
 	}
 }
+
+func TestManyDaemonsStartWithFewCalls(t *testing.T) {
+	inZones(t, 24, []string{"a", "b", "c", "d"}, func(w *world) {
+		for i := range 60 { // endpoints that write themselves to the store meanwhile
+			w.runner(plain, "a", fmt.Sprint("i-", i), 0)
+		}
+		time.Sleep(time.Second)
+		// Four a daemon, and in 6 s the feeds of four readers, with ten changes a
+		// second at the most.
+		assert.Less(t, w.storeCalls(), 24*6+4*6*(10+2))
+		for i := range w.daemons {
+			assert.Equal(t, http.StatusOK, w.ask(i, http.MethodPost, "/write/", fmt.Sprint("id-", i)).status)
+		}
+	})
+}
