request: the usual pace of plain calls is not that of the first answer

Test: TestTheUsualPaceIsNotThatOfTheFirstAnswer. Ruled out: judging by the target of the route, which says nothing of what the endpoints can do.

--- a/request/limit.go
+++ b/request/limit.go
@@ -104,9 +104,15 @@
 	first   float64 // seconds to the first token beyond the prompt's
 	prefill float64 // prompt tokens a second
 	whole   float64 // seconds of a plain call
+	wholes  int     // plain calls that whole is made of, up to usualAfter
 }
 
-const speedWeight = 0.05
+const (
+	speedWeight = 0.05
+	// usualAfter is how many plain calls tell what is usual: below it the mean of
+	// all counts, above it the newest with speedWeight.
+	usualAfter = int(1 / speedWeight)
+)
 
 func blend(avg *float64, v float64) {
 	if *avg == 0 {
@@ -121,7 +127,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if tokens == 0 {
-		blend(&s.whole, total.Seconds())
+		s.wholes = min(s.wholes+1, usualAfter)
+		s.whole += (total.Seconds() - s.whole) / float64(s.wholes)
 		return
 	}
 	if tokens > 1 {
@@ -148,10 +155,14 @@
 	return time.Duration(sec * float64(time.Second))
 }
 
-// Pace returns the usual time of a token, or of a plain call, or 0.
+// Pace returns the usual time of a token, or of a plain call, or 0 while too few
+// answers tell it.
 func (s *Speed) Pace(plain bool) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if plain && s.wholes < usualAfter {
+		return 0
+	}
 	if plain {
 		return time.Duration(s.whole * float64(time.Second))
 	}
--- a/request/queue_test.go
+++ b/request/queue_test.go
@@ -200,3 +200,13 @@
 	}
 	assert.InDelta(t, 20, again, 1, "after %d at the start", spent)
 }
+
+func TestTheUsualPaceIsNotThatOfTheFirstAnswer(t *testing.T) {
+	var s request.Speed
+	s.Answered(0, 5*time.Millisecond, 0, 0)
+	assert.Zero(t, s.Pace(true), "one answer says nothing of what is usual")
+	for range 30 {
+		s.Answered(0, 60*time.Millisecond, 0, 0)
+	}
+	assert.InDelta(t, 60, s.Pace(true).Milliseconds(), 5)
+}
