--- a/entry/runners.go
+++ b/entry/runners.go
@@ -35,6 +35,7 @@
 	rows     map[string][]byte // their entries, for other daemons
 	missing  map[string]bool   // entries that went while the store was away
 	readAt   time.Time         // of the first whole list; zero before
+	foundAt  time.Time         // when an endpoint was last found
 	failedAt time.Time         // the last time the store did not answer, or its return after that
 	away     bool              // the store has not answered since then
 }
@@ -102,6 +103,7 @@
 	})
 	fields := logrus.Fields{"part": "endpoints", "endpoint": r.ID, "service": r.Service, "zone": r.Zone, "address": r.Address, "reclaimable": r.Reclaimable}
 	if !known {
+		k.foundAt = now
 		k.d.log.WithFields(fields).Info("endpoint found")
 	}
 	if r.Leaving && !(known && old.Leaving) && t != nil {
@@ -198,11 +200,15 @@
 	return !k.readAt.IsZero()
 }
 
-// knownFor reports whether they have been read so long ago.
-func (k *runnerKeeper) knownFor(now time.Time, d time.Duration) bool {
+// knownFor returns how long ago the endpoints were read first, and how long ago
+// one was last found; less than 0 if they were not read yet.
+func (k *runnerKeeper) knownFor(now time.Time) (read, found time.Duration) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return !k.readAt.IsZero() && now.Sub(k.readAt) >= d
+	if k.readAt.IsZero() {
+		return -1, -1
+	}
+	return now.Sub(k.readAt), now.Sub(k.foundAt)
 }
 
 // all returns the endpoints known.
--- a/entry/scale.go
+++ b/entry/scale.go
@@ -27,9 +27,14 @@
 	// dryMost is what that time grows to while refusals go on.
 	dryMost = 5 * time.Second
 	// countBeats is how many heartbeats after the first list of endpoints they
-	// are counted: all were just started where the daemons were, and the last was
-	// seen to write itself to the store 2.4 heartbeats after that list.
+	// are counted at the earliest: all were just started where the daemons were,
+	// and the last was seen to write itself to the store 2.4 heartbeats after that
+	// list. If the last was found less than quietBeats before, they are not
+	// counted yet: 70 of 90 were found after 2.7 (trouble-2 of trmdo-bkk-grown).
+	// After countMost they are counted all the same.
 	countBeats = 2.7
+	quietBeats = 0.5
+	countMost  = 4.5
 	// demandRise and demandFall are how fast the demand that is planned for
 	// follows the demand that is seen.
 	demandRise = 2 * time.Second
@@ -115,8 +120,7 @@
 // step sends the orders that are due.
 func (x *scaleDuty) step(ctx context.Context, f platform.Fence, u *duties) {
 	c := x.d.catalog.get()
-	counted := time.Duration(countBeats * float64(x.d.Site().Bounds.Heartbeat))
-	if c == nil || !x.d.runners.knownFor(time.Now(), counted) {
+	if c == nil || !x.countable(time.Now()) {
 		return
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.Backend)) {
@@ -126,6 +130,14 @@
 	}
 }
 
+// countable reports whether all endpoints that were there at the start are
+// likely to have been found.
+func (x *scaleDuty) countable(now time.Time) bool {
+	read, found := x.d.runners.knownFor(now)
+	beats := func(n float64) time.Duration { return time.Duration(n * float64(x.d.Site().Bounds.Heartbeat)) }
+	return read >= beats(countBeats) && (found >= beats(quietBeats) || read >= beats(countMost))
+}
+
 func (x *scaleDuty) service(ctx context.Context, f platform.Fence, u *duties, b version.Backend) {
 	live := x.live(b.Name)
 	s := x.state[b.Name]
--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -314,6 +315,27 @@
 	})
 }
 
+func TestEndpointsAreCountedOnceNoMoreAreFound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.put()
+		w.start()
+		for i := range 10 { // they write themselves to the store one after the other, in 3.5 heartbeats
+			w.runner(engines, "a", fmt.Sprint("i-", i), 1)
+			time.Sleep(300 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+		spots := 0
+		for _, c := range w.api.Calls("/scale") {
+			if o := c.Order(); o.Spot {
+				spots += o.Count
+			}
+		}
+		assert.Equal(t, 10, spots)
+		w.close()
+	})
+}
+
 func TestManyDaemonsHoldALimitTogether(t *testing.T) {
 	inWorld(t, 16, func(w *world) {
 		w.runner(plain, "a", "i-1", 0)
