request: learn how many tokens an event of a stream holds

Cause: the pause that a long prompt causes to the streams beside it was worked out from 5 tokens an event, which is one site's figure; others have 6, 7 and 8, so that prompts of 20,000 to 25,000 tokens were taken as harmless there. The callers' guesses, right at the median, show it. Ruled out: the most tokens that a request names, which few answers reach.

--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -207,7 +207,7 @@
 	req.Relay = &request.Relay{
 		Codec: &codec{in: platform.Forwarded(r.Header), team: team, urgency: urgency},
 		Host:  r.Host, Streaming: o.route.Streaming, Attempts: o.route.Attempts,
-		Prefix: prefix(o.call.Parts), PromptTokens: o.call.In, OutTokens: expectOut(o.call),
+		Prefix: prefix(o.call.Parts), PromptTokens: o.call.In, OutTokens: expectOut(o.call), Guess: o.call.Hint,
 		Pause: o.route.Pause, WaitLimit: c.WaitLimit(o.route, name), Parts: parts(o.call.Parts),
 		Begun: func(at time.Time) { s.d.begun(team, at) },
 	}
--- a/entry/sends.go
+++ b/entry/sends.go
@@ -15,8 +15,7 @@
 
 // Few daemons tell each other directly of the prompts that they send to engines.
 // Where they are many, each tells its zone's reader, and the readers pass the
-// word on to each other and to their zones. Parts of prompts are left out there:
-// a prompt's home, which all daemons compute alike, stands for them.
+// word on to each other and to their zones.
 
 const (
 	// sendsPause is how long prompts are gathered before the others are told:
--- a/request/backlog.go
+++ b/request/backlog.go
@@ -159,10 +159,10 @@
 
 // Sent is a prompt that a daemon has sent to an engine, as it tells the others.
 type Sent struct {
-	Endpoint uint64 `codec:"e"`           // the hash of the engine's name
-	Fresh    int    `codec:"f"`           // tokens that the engine has to read
-	Total    int    `codec:"t"`           // tokens of the whole prompt
-	Parts    []Part `codec:"p,omitempty"` // the shared ones, where daemons tell each other of them
+	Endpoint uint64 `codec:"e"` // the hash of the engine's name
+	Fresh    int    `codec:"f"` // tokens that the engine has to read
+	Total    int    `codec:"t"` // tokens of the whole prompt
+	Parts    []Part `codec:"p"` // the shared ones
 }
 
 // HearSent takes in a prompt that another daemon has sent.
--- a/request/readcost.go
+++ b/request/readcost.go
@@ -23,9 +23,14 @@
 	// forget is what is left of a sample's weight after the next.
 	forget = 0.98
 	// chunkTokens is how many tokens engines read between two steps of the
-	// streams that run, and eventTokens how many of these steps make an event.
+	// streams that run.
 	chunkTokens = 4096
+	// eventTokens is how many of these steps make an event, until answers have
+	// shown it; eventStep is how far one answer moves it, as a share, and
+	// eventLeast how many events an answer must have to tell of it.
 	eventTokens = 5
+	eventStep   = 0.03
+	eventLeast  = 8
 )
 
 // ReadCost is how long the engines of a service take to read prompts: a time for
@@ -36,6 +41,8 @@
 	total time.Duration // of all prompts that were sent
 	// sums over samples of tokens (thousands), pairs (millions) and seconds
 	tt, tp, pp, ts, ps float64
+
+	event float64 // tokens of an event; 0 while not known
 }
 
 // coefficients returns the times of a thousand tokens and a million pairs in
@@ -69,7 +76,35 @@
 // Held returns the longest pause that reading the prompt causes to streams that
 // run beside: the time of the last chunks, as many as steps make an event.
 func (c *ReadCost) Held(fresh, total int) time.Duration {
-	return c.Time(min(fresh, eventTokens*chunkTokens), total)
+	return c.Time(min(fresh, int(c.eventTokens()*chunkTokens)), total)
+}
+
+func (c *ReadCost) eventTokens() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.event == 0 {
+		return eventTokens
+	}
+	return c.event
+}
+
+// LearnEvents takes in how many events a whole answer had whose caller expected
+// so many tokens. Such a guess may be far off, but is right at the median, which
+// is what small steps of one size lead to.
+func (c *ReadCost) LearnEvents(tokens, events int) {
+	if tokens <= 0 || events < eventLeast {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.event == 0 {
+		c.event = eventTokens
+	}
+	if float64(tokens) > c.event*float64(events) {
+		c.event *= 1 + eventStep
+	} else {
+		c.event = math.Max(1, c.event/(1+eventStep))
+	}
 }
 
 // Learn takes in how long a prompt took that had nothing before it.
--- a/request/relay.go
+++ b/request/relay.go
@@ -52,6 +52,7 @@
 	Prefix       uint64 // names the shared head of the prompt; 0 for none
 	PromptTokens int
 	OutTokens    int                 // expected of the answer
+	Guess        int                 // the caller's own guess of them; 0 for none
 	Pause        time.Duration       // the longest in a stream that is in time; 0 if not known
 	Parts        []Part              // of the prompt, in order
 	WaitLimit    time.Duration       // how long it may wait until an engine begins to read it; 0 for no limit
@@ -267,7 +268,7 @@
 // first event, so that until then the request can still go elsewhere.
 func (r *run) passEvents(c Choice, mark Mark, resp *http.Response, dog watchdog) (Ending, error) {
 	x := r.r.Relay
-	first := true
+	first, count := true, 0
 	events := conn.NewEvents(resp.Body)
 	flush := http.NewResponseController(x.Out)
 	for {
@@ -277,11 +278,15 @@
 			if !x.head {
 				x.writeHead(resp.StatusCode, resp.Header)
 			}
+			if r.runs == 0 {
+				r.work.Pool.cost.LearnEvents(x.Guess, count)
+			}
 			return EndedWhole, nil
 		}
 		if err != nil {
 			return EndedBroken, &conn.Failure{Sent: true, Err: err}
 		}
+		count++
 		if first {
 			first = false
 			now := time.Now()
