entry: follow the requests that run before ordering endpoints for them

What runs is now followed as the reading is, up in 2 s and down in 8. Test: TestManyDaemonsOrderForWhatAllOfThemRun, 7 ordered within 0.8 s before.

--- a/entry/scale.go
+++ b/entry/scale.go
@@ -59,12 +59,34 @@
 	spare   time.Time                   // since when there are too many dear endpoints
 }
 
-// demand follows how many endpoints would be busy all the time.
+// demand follows how many endpoints would be busy all the time, and how many
+// requests run at them. Both follow what is seen only after a while: daemons that
+// have all just started get at once what callers have kept back meanwhile.
 type demand struct {
 	at   time.Time
 	read time.Duration
 	need float64
 	seen bool
+
+	counted time.Time // when running was followed last
+	running float64
+}
+
+// count takes in how many requests run at a service's endpoints.
+func (d *demand) count(now time.Time, running int) {
+	if !d.counted.IsZero() {
+		d.running += (float64(running) - d.running) * followed(now.Sub(d.counted), float64(running) > d.running)
+	}
+	d.counted = now
+}
+
+// followed returns by which share of its distance a value is followed in a time.
+func followed(dt time.Duration, rises bool) float64 {
+	span := demandFall
+	if rises {
+		span = demandRise
+	}
+	return 1 - math.Exp(-dt.Seconds()/span.Seconds())
 }
 
 // take takes in the reading ever asked of a service.
@@ -79,11 +101,7 @@
 	}
 	rate := (read - d.read).Seconds() / dt.Seconds()
 	d.seen = d.seen || rate > 0
-	span := demandFall
-	if rate > d.need {
-		span = demandRise
-	}
-	d.need += (rate - d.need) * (1 - math.Exp(-dt.Seconds()/span.Seconds()))
+	d.need += (rate - d.need) * followed(dt, rate > d.need)
 	d.at, d.read = now, read
 }
 
@@ -113,7 +131,9 @@
 		if x.demand[name] == nil {
 			x.demand[name] = &demand{}
 		}
-		x.demand[name].take(now, x.d.work(name).Pool.Reading())
+		pool := x.d.work(name).Pool
+		x.demand[name].take(now, pool.Reading())
+		x.demand[name].count(now, x.d.tallies.Running(now, pool.Service))
 	}
 }
 
@@ -170,7 +190,7 @@
 	if asked.seen {
 		need = asked.need
 		if slots := pool.Slots(); slots > 0 {
-			need = math.Max(need, firmUse/placeUse*float64(x.d.tallies.Running(now, pool.Service))/slots)
+			need = math.Max(need, firmUse/placeUse*asked.running/slots)
 		}
 	}
 	coming := make(map[ScaleKind]int)
