entry: a limit holds while readers change and boxes are cut off

Each change to another reader's word dropped what was admitted since the last, since sums begin elsewhere, and a box that heard nobody used the whole limit until the overlay had buried the others one by one. Now the rate seen before is assumed for such gaps, and who hears nobody for 1.5 s uses its own part. Ruled out: sums that all readers count from the same moment, which a reader that has just started cannot know.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -57,7 +57,7 @@
 	runners runnerKeeper
 	tallies *Tallies
 	quotas  *Quotas
-	flow    flowReader
+	flow    FlowReader
 	sends   sendQueue
 	duties  *duties
 	meters  *meters
@@ -69,6 +69,8 @@
 	stopping   atomic.Bool
 	ready      atomic.Bool
 	feedsDown  atomic.Int32 // feeds of the store that fail now
+	began      time.Time
+	heardAt    atomic.Int64 // when another daemon was last heard of what is admitted, nanoseconds after began
 	readerTurn ReaderTurn
 	asked      int // rounds of questions to daemons that are no readers; of one goroutine
 
@@ -86,7 +88,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Daemon{network: n, log: log, meters: newMeters(), quotas: NewQuotas(site.First)}
+	d := &Daemon{began: time.Now(), network: n, log: log, meters: newMeters(), quotas: NewQuotas(site.First)}
 	d.site.Store(&site)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.Self = conn.Member{Name: site.Name, Start: time.Now().UnixMilli(), Address: site.PeerAddr, Zone: site.Zone, Power: int(100 * site.CPUShare)}
@@ -228,6 +230,7 @@
 	d.every(tickPeriod, func(now time.Time) {
 		d.Server.Works.Tick(now, len(d.Hub.Mesh.Members()))
 		d.runners.tick(now)
+		d.assumeFlow(now)
 		d.judgeReady(now)
 	})
 	d.run(func() {
@@ -282,8 +285,7 @@
 	return out
 }
 
-// share is the part of a limit over all daemons that this one may use: all of it
-// while it hears the others, else its share.
+// share is the part of a limit over all daemons that this one may use.
 func (d *Daemon) share() float64 {
 	alive, known := 0, 0
 	for _, m := range d.Hub.Mesh.Known() {
@@ -292,7 +294,21 @@
 			alive++
 		}
 	}
-	return float64(max(alive, 1)) / float64(max(known, 1))
+	silent := time.Since(d.began) - time.Duration(d.heardAt.Load())
+	return LimitShare(alive, known, d.many() && silent > aloneAfter)
+}
+
+// heard notes that another daemon has told what it and others admit.
+func (d *Daemon) heard() { d.heardAt.Store(int64(time.Since(d.began))) }
+
+// assumeFlow counts what others are likely to admit while no reader is heard. A
+// reader itself hears of each daemon.
+func (d *Daemon) assumeFlow(now time.Time) {
+	if d.isReader() {
+		d.flow.Forget()
+		return
+	}
+	d.chargeAll(now, d.flow.Assume(now))
 }
 
 // begun counts a request that an endpoint has begun.
--- /dev/null
+++ b/entry/flow.go
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// flowPatience is how long after a reader's last word the others are taken to
+	// go on admitting as before: two rounds of questions and an answer's way.
+	flowPatience = time.Second
+	// flowAssumed is for how long that is assumed at the most; by then a daemon
+	// that hears nobody uses only its own part of each limit.
+	flowAssumed = 4 * time.Second
+	// flowWeight is the weight of the newest word in the rate that is assumed.
+	flowWeight = 0.5
+	// aloneAfter is after how long without a word of any other a daemon among many
+	// takes itself to be cut off. The overlay notices that only of neighbours, and
+	// 3.5 s late; a word comes every 450 ms.
+	aloneAfter = 1500 * time.Millisecond
+)
+
+// FlowReader follows what other daemons admit by the word of one reader at a
+// time. A word of the same reader tells exactly what was admitted since its last
+// one. For the time until then, and for the change to another reader, whose sums
+// begin elsewhere, it assumes the rate seen before. The zero value is ready.
+type FlowReader struct {
+	mu      sync.Mutex
+	source  string // the reader's start
+	seen    map[string]int64
+	at      time.Time          // of the last word
+	rate    map[string]float64 // units a second, by team
+	assumed map[string]float64 // counted since the last word without having been told
+}
+
+// Take returns what is to be counted with a reader's word: its sums of what
+// others have admitted, by team.
+func (f *FlowReader) Take(now time.Time, source string, flow map[string]int64) []Admitted {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	gap := now.Sub(f.at)
+	known := f.source == source
+	first := f.at.IsZero()
+	if f.rate == nil {
+		f.rate = make(map[string]float64)
+	}
+	var out []Admitted
+	for team, n := range flow {
+		add := f.rate[team] * min(gap, flowAssumed).Seconds()
+		if known {
+			add = float64(n - f.seen[team])
+			f.rate[team] += flowWeight * (add/max(gap.Seconds(), 0.01) - f.rate[team])
+		}
+		if units := int64(add - f.assumed[team]); units != 0 && !first {
+			out = append(out, Admitted{team, units})
+		}
+	}
+	f.source, f.seen, f.at = source, flow, now
+	f.assumed = nil
+	return out
+}
+
+// Forget begins anew, for a daemon that hears what others admit by another way.
+func (f *FlowReader) Forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.source, f.seen, f.at, f.assumed = "", nil, time.Time{}, nil
+}
+
+// Assume returns what is to be counted because no reader has been heard for a
+// while.
+func (f *FlowReader) Assume(now time.Time) []Admitted {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	gap := now.Sub(f.at)
+	if f.at.IsZero() || gap < flowPatience {
+		return nil
+	}
+	if f.assumed == nil {
+		f.assumed = make(map[string]float64)
+	}
+	var out []Admitted
+	for team, rate := range f.rate {
+		units := int64(rate*min(gap, flowAssumed).Seconds() - f.assumed[team])
+		if units > 0 {
+			f.assumed[team] += float64(units)
+			out = append(out, Admitted{team, units})
+		}
+	}
+	return out
+}
+
+// LimitShare returns the part of a limit over all daemons that one may use: as
+// much as it hears of them, and its own part alone if it hears nobody.
+func LimitShare(alive, known int, cutOff bool) float64 {
+	if cutOff {
+		alive = 1
+	}
+	return float64(max(alive, 1)) / float64(max(known, 1))
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -135,9 +135,8 @@
 		d.takeFresh(sent, name, a)
 	}
 	if a.Source != "" {
-		for _, x := range d.flow.take(a.Source, a.Flow) {
-			d.charge(time.Now(), x.Team, x.Units)
-		}
+		d.heard()
+		d.chargeAll(time.Now(), d.flow.Take(time.Now(), a.Source, a.Flow))
 	}
 	return a.Known && !a.Failing
 }
--- a/entry/tallyshare.go
+++ b/entry/tallyshare.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"streambend.example/conn"
@@ -94,7 +93,12 @@
 
 // takeTallies takes tallies in and charges the teams for what is new.
 func (d *Daemon) takeTallies(now time.Time, from string, in []conn.Tally) {
-	for _, a := range d.tallies.Hear(now, from, in) {
+	d.heard()
+	d.chargeAll(now, d.tallies.Hear(now, from, in))
+}
+
+func (d *Daemon) chargeAll(now time.Time, in []Admitted) {
+	for _, a := range in {
 		d.charge(now, a.Team, a.Units)
 	}
 }
@@ -106,26 +110,3 @@
 		}
 	}
 }
-
-// flowReader follows what others admit by the word of one reader at a time.
-type flowReader struct {
-	mu     sync.Mutex
-	source string // the reader's start
-	seen   map[string]int64
-}
-
-// take returns what was admitted since the reader's last word. The first word of
-// another reader only tells where to count from.
-func (f *flowReader) take(source string, flow map[string]int64) []Admitted {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	known := f.source == source
-	var out []Admitted
-	for team, n := range flow {
-		if add := n - f.seen[team]; known && add != 0 {
-			out = append(out, Admitted{team, add})
-		}
-	}
-	f.source, f.seen = source, flow
-	return out
-}
