--- /dev/null
+++ b/entry/many_test.go
@@ -0,0 +1,140 @@
+// SPDX-License-Identifier: MIT
+
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"streambend.example/platform"
+)
+
+// What holds where the daemons are too many for each to tell all others.
+
+func TestManyDaemonsReportUsageExactly(t *testing.T) {
+	inWorld(t, 16, func(w *world) {
+		w.runner(plain, "a", "i-1", 0)
+		for i := range 64 {
+			w.ask(i%16, http.MethodPost, "/write/", fmt.Sprint("id-", i))
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(10 * time.Second)
+		sum := 0
+		for _, c := range w.api.Calls("/usage") {
+			var window int64
+			var n int
+			if _, err := fmt.Sscanf(c.Body, `{"window":%d,"counts":{"team-a":%d}}`, &window, &n); err == nil {
+				sum += n
+			}
+		}
+		assert.Equal(t, 64, sum)
+		assert.Less(t, w.store.Calls("/streambend/rows-feed"), 16*12, "one daemon of the zone reads for the others")
+	})
+}
+
+func TestManyDaemonsKnowWhatEachHasSent(t *testing.T) {
+	inWorld(t, 16, func(w *world) {
+		const count, prompts = 4, 12
+		for i := range count {
+			w.runner(engines, "a", fmt.Sprint("i-", i), 1)
+		}
+		time.Sleep(2 * time.Second)
+		for i := range prompts { // they share a head, and take an engine some 220 ms to read
+			w.ask(i, http.MethodPost, "/digest/", fmt.Sprint("id-", i),
+				"Streambend-Token-Counts", "11000,10", "Streambend-Prompt-Prefix", fmt.Sprintf("%x:1000,%x:10000", 7919, 104729*i+1))
+			time.Sleep(50 * time.Millisecond)
+		}
+		for _, r := range w.runners {
+			assert.InDelta(t, prompts/count, len(r.Ran()), 2, "what other daemons have sent to the head's home is known")
+		}
+	})
+}
+
+func TestManyDaemonsOrderForWhatAllOfThemRun(t *testing.T) {
+	inWorld(t, 16, func(w *world) {
+		w.runner(engines, "a", "i-1", 400) // 8 s a stream
+		time.Sleep(4 * time.Second)
+		for i := range 16 {
+			go w.ask(i, http.MethodPost, "/digest/", fmt.Sprint("id-", i),
+				"Streambend-Token-Counts", "100,10", "Streambend-Prompt-Prefix", fmt.Sprintf("%x:50,%x:50", 7919*i+1, 104729*i+1))
+		}
+		time.Sleep(800 * time.Millisecond)
+		early := w.spots()
+		assert.LessOrEqual(t, early["a"]+early["b"], 4, "what all send at once may be over soon")
+		time.Sleep(3800 * time.Millisecond)
+		// 16 requests, nearly nine tenths of them believed by now, on engines of 8
+		// places that are to be 0.7 full, times 0.55 over 0.25 for what can be
+		// reclaimed: 5.3 to 5.6.
+		late := w.spots()
+		assert.InDelta(t, 5.5, late["a"]+late["b"], 0.6)
+	})
+}
+
+// spots returns how many reclaimable endpoints were last ordered in each zone.
+func (w *world) spots() map[string]int {
+	out := make(map[string]int)
+	for _, c := range w.api.Calls("/scale") {
+		if o := c.Order(); o.Spot {
+			out[o.Zone] = o.Count
+		}
+	}
+	return out
+}
+
+func TestAChangeOfOneEndpointIsToldAlone(t *testing.T) {
+	inWorld(t, 16, func(w *world) {
+		for i := range 60 {
+			w.runner(plain, "a", fmt.Sprint("i-", i), 0)
+		}
+		time.Sleep(3 * time.Second)
+		sent := func() (n int64) {
+			for _, d := range w.daemons {
+				n += d.Hub.Traffic().SentBytes
+			}
+			return n
+		}
+		before := sent()
+		time.Sleep(10 * time.Second)
+		quiet := sent() - before
+		before = sent()
+		for i := range 10 {
+			w.store.Put(platform.RunnerTable, "", fmt.Sprint("i-", i), w.runners[i].Entry(plain, "a", "draining"))
+			time.Sleep(500 * time.Millisecond)
+			w.store.Drop(platform.RunnerTable, "", fmt.Sprint("i-", i))
+			time.Sleep(500 * time.Millisecond)
+		}
+		assert.Less(t, sent()-before-quiet, int64(16*20*400), "an entry or less a daemon and change")
+		for i := range w.daemons {
+			for n := range 10 {
+				require.Equal(t, http.StatusOK, w.ask(i, http.MethodPost, "/write/", fmt.Sprint("id-", i, "-", n)).status)
+			}
+		}
+		for _, r := range w.runners[:10] {
+			assert.Empty(t, r.Ran(), "it has gone, and all know it")
+		}
+	})
+}
+
+func TestManyDaemonsHoldALimitTogether(t *testing.T) {
+	inWorld(t, 16, func(w *world) {
+		w.runner(plain, "a", "i-1", 0)
+		w.rate = 4000 // 20 plain requests a second
+		w.put()
+		time.Sleep(2 * time.Second)
+		const span = 10 * time.Second
+		ok := 0
+		for i, began := 0, time.Now(); time.Since(began) < span; i++ {
+			if w.ask(i%16, http.MethodPost, "/write/", fmt.Sprint("id-", i)).status == http.StatusOK {
+				ok++
+			}
+			time.Sleep(5 * time.Millisecond)
+		}
+		allowed := 4000.0 * (span.Seconds() + 1) / 200
+		assert.InDelta(t, allowed, ok, 0.2*allowed)
+	})
+}
