--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -71,6 +71,7 @@
 	feedsDown  atomic.Int32 // feeds of the store that fail now
 	began      time.Time
 	heardAt    atomic.Int64 // when another daemon was last heard of what is admitted, nanoseconds after began
+	cutOff     atomic.Bool  // no other daemon is heard
 	readerTurn ReaderTurn
 	asked      int // rounds of questions to daemons that are no readers; of one goroutine
 
@@ -230,6 +231,7 @@
 	d.every(tickPeriod, func(now time.Time) {
 		d.Server.Works.Tick(now, len(d.Hub.Mesh.Members()))
 		d.runners.tick(now)
+		d.judgeCutOff(now)
 		d.assumeFlow(now)
 		d.judgeReady(now)
 	})
@@ -294,8 +296,17 @@
 			alive++
 		}
 	}
-	silent := time.Since(d.began) - time.Duration(d.heardAt.Load())
-	return LimitShare(alive, known, d.many() && silent > aloneAfter)
+	return LimitShare(alive, known, d.cutOff.Load())
+}
+
+// judgeCutOff brings up to date whether this daemon, one of many, hears nobody.
+func (d *Daemon) judgeCutOff(now time.Time) {
+	silent := now.Sub(d.began) - time.Duration(d.heardAt.Load())
+	cut := d.many() && silent > aloneAfter
+	if d.cutOff.Swap(cut) != cut {
+		d.log.WithFields(logrus.Fields{"part": "peers", "cut_off": cut, "silent_ms": silent.Milliseconds()}).
+			Info("other daemons heard or not: decides the part of each limit that is used")
+	}
 }
 
 // heard notes that another daemon has told what it and others admit.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -6,6 +6,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"streambend.example/conn"
 	"streambend.example/platform"
 )
@@ -85,7 +87,7 @@
 	}
 	if readers := d.readers(); len(readers) > 0 {
 		at := d.readerTurn.Next(len(readers))
-		d.run(func() { d.hearReader(at, d.askPeer(ctx, readers[at])) })
+		d.run(func() { d.hearReader(at, readers[at], d.askPeer(ctx, readers[at])) })
 	}
 	others := d.others()
 	if !old || len(others) == 0 {
@@ -99,8 +101,12 @@
 
 // hearReader takes in whether a reader reads the store with success. When one
 // after the other does not, the store is away for all of them, and entries lapse.
-func (d *Daemon) hearReader(at int, ok bool) {
-	d.readerTurn.Heard(at, ok)
+func (d *Daemon) hearReader(at int, name string, ok bool) {
+	if d.readerTurn.Heard(at, ok) {
+		d.log.WithFields(logrus.Fields{
+			"part": "peers", "reader": name, "answered": ok, "failed_in_a_row": d.readerTurn.Failed(),
+		}).Info("another reader is asked from now on")
+	}
 	switch {
 	case ok:
 		d.runners.storeBack(time.Now())
--- a/entry/readers.go
+++ b/entry/readers.go
@@ -87,10 +87,12 @@
 	return t.at
 }
 
-// Heard takes in whether the reader at a place reads the store with success.
-func (t *ReaderTurn) Heard(at int, ok bool) {
+// Heard takes in whether the reader at a place reads the store with success, and
+// reports whether another one is asked from now on.
+func (t *ReaderTurn) Heard(at int, ok bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	before := t.at
 	switch {
 	case at != t.at:
 		// An answer that comes late says nothing of the present reader.
@@ -104,6 +106,7 @@
 			t.at, t.good = 0, 0
 		}
 	}
+	return t.at != before
 }
 
 // Failed returns how many readers in a row have failed.
