soak: hand each port out once

Ruled out: the load of that moment; the log names the cause, and the two addresses in its settings are equal.

--- a/internal/soak/daemon.go
+++ b/internal/soak/daemon.go
@@ -37,23 +37,45 @@
 	ready   bool
 }
 
-// freePort returns a port of loopback that is free now.
-func freePort() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// Ports hands out addresses of loopback that are free, each only once: the
+// system may offer a port again as soon as whoever looked has closed it, while
+// the process that it is meant for has not opened it yet. The zero value is ready.
+type Ports struct {
+	mu    sync.Mutex
+	taken map[string]bool
+}
+
+// Next returns an address that is free now and was not handed out before.
+func (p *Ports) Next() (string, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.taken == nil {
+		p.taken = make(map[string]bool)
+	}
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return "", err
+		}
+		addr := l.Addr().String()
+		l.Close()
+		if !p.taken[addr] {
+			p.taken[addr] = true
+			return addr, nil
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
 }
 
+// ports are those of all daemons of this process.
+var ports Ports
+
 // newDaemon writes a daemon's settings; seeds are the peers' addresses known.
 func newDaemon(o Options, i int, store *Proxy, cloud string, first bool) (*daemon, error) {
 	d := &daemon{name: fmt.Sprintf("daemon-%d", i), program: o.Program, store: store}
 	var addrs [3]string
 	for k := range addrs {
 		var err error
-		if addrs[k], err = freePort(); err != nil {
+		if addrs[k], err = ports.Next(); err != nil {
 			return nil, errors.Wrap(err, "soak: port")
 		}
 	}
