entry: readers that are dead are no outage of the store

Logs: 'entry missing after an outage, held' at frontend-makati-a-4 alone, 10.347 s, just after the readers of its own and another zone had been killed and started anew. Two questions without an answer were taken for an outage. Only readers that say themselves that the store fails them count now. Test: TestDeadReadersAreNoOutageOfTheStore. Ruled out: late news, all others dropped the entry within 0.5 s.

--- a/entry/outage_test.go
+++ b/entry/outage_test.go
@@ -72,21 +72,37 @@
 func TestReadersAreAskedInTurn(t *testing.T) {
 	var turn entry.ReaderTurn
 	assert.Equal(t, 0, turn.Next(3))
-	turn.Heard(0, false)
-	turn.Heard(0, false)
+	assert.True(t, turn.Heard(0, entry.ReaderFailing))
+	assert.False(t, turn.Heard(0, entry.ReaderFailing))
 	assert.Equal(t, 1, turn.Failed(), "the same one twice says nothing more")
 	assert.Equal(t, 1, turn.Next(3))
 	for range 9 {
-		turn.Heard(1, true)
+		assert.False(t, turn.Heard(1, entry.ReaderWell))
 	}
 	assert.Equal(t, 1, turn.Next(3), "it does well")
-	turn.Heard(1, true)
+	assert.True(t, turn.Heard(1, entry.ReaderWell))
 	assert.Equal(t, 0, turn.Next(3), "the zone's own is tried again")
 	assert.Zero(t, turn.Failed())
-	turn.Heard(0, false)
+	turn.Heard(0, entry.ReaderFailing)
 	assert.Equal(t, 0, turn.Next(1), "the others have gone")
 }
 
+// hunt-20c7-3 of alonzo-podwave: daemons that had been killed were asked in vain,
+// and what left the store meanwhile was held and used for too long.
+func TestDeadReadersAreNoOutageOfTheStore(t *testing.T) {
+	var turn entry.ReaderTurn
+	for i := range 4 {
+		turn.Heard(i, entry.ReaderSilent)
+		assert.False(t, turn.Outage(), "after %d", i+1)
+	}
+	turn.Heard(4, entry.ReaderFailing)
+	assert.False(t, turn.Outage(), "one may be cut off")
+	turn.Heard(5, entry.ReaderFailing)
+	assert.True(t, turn.Outage())
+	turn.Heard(6, entry.ReaderWell)
+	assert.False(t, turn.Outage())
+}
+
 func TestADaemonsOwnZoneIsAskedFirst(t *testing.T) {
 	var members []conn.Member
 	for i := range 12 {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -99,24 +99,24 @@
 	d.run(func() { d.askPeer(ctx, m.Name) })
 }
 
-// hearReader takes in whether a reader reads the store with success. When one
-// after the other does not, the store is away for all of them, and entries lapse.
-func (d *Daemon) hearReader(at int, name string, ok bool) {
-	if d.readerTurn.Heard(at, ok) {
+// hearReader takes in the word of a reader. When one after the other says that the
+// store fails it, the store is away for all of them, and entries lapse.
+func (d *Daemon) hearReader(at int, name string, w ReaderWord) {
+	if d.readerTurn.Heard(at, w) {
 		d.log.WithFields(logrus.Fields{
-			"part": "peers", "reader": name, "answered": ok, "failed_in_a_row": d.readerTurn.Failed(),
+			"part": "peers", "reader": name, "word": w.String(), "failed_in_a_row": d.readerTurn.Failed(),
 		}).Info("another reader is asked from now on")
 	}
 	switch {
-	case ok:
+	case w == ReaderWell:
 		d.runners.storeBack(time.Now())
-	case d.readerTurn.Failed() >= outageReaders:
+	case d.readerTurn.Outage():
 		d.storeFailed(time.Now())
 	}
 }
 
-// askPeer asks one daemon, and reports whether it reads the store with success.
-func (d *Daemon) askPeer(ctx context.Context, name string) bool {
+// askPeer asks one daemon, and returns what it says of its reading.
+func (d *Daemon) askPeer(ctx context.Context, name string) ReaderWord {
 	ctx, cancel := context.WithTimeout(ctx, peerLimit)
 	defer cancel()
 	q := freshQuestion{Runners: d.runners.current()}
@@ -130,12 +130,12 @@
 	sent := time.Now()
 	b, err := d.Hub.Ask(ctx, name, askFresh, conn.Marshal(q))
 	if err != nil {
-		return false // the next round asks again, or another
+		return ReaderSilent // the next round asks again, or another
 	}
 	var a freshAnswer
 	if err := conn.Unmarshal(b, &a); err != nil {
 		d.log.WithField("part", "peers").Warnf("answer of %s: %v", name, err)
-		return false
+		return ReaderSilent
 	}
 	if a.Known {
 		d.takeFresh(sent, name, a)
@@ -144,7 +144,13 @@
 		d.heard()
 		d.chargeAll(time.Now(), d.flow.Take(time.Now(), a.Source, a.Flow))
 	}
-	return a.Known && !a.Failing
+	switch {
+	case a.Failing:
+		return ReaderFailing
+	case !a.Known:
+		return ReaderSilent // it has just started
+	}
+	return ReaderWell
 }
 
 func (d *Daemon) takeFresh(sent time.Time, name string, a freshAnswer) {
--- a/entry/readers.go
+++ b/entry/readers.go
@@ -64,17 +64,32 @@
 // zone's is asked again.
 const returnAfter = 10
 
-// outageReaders is how many readers in a row must have failed to be taken for
-// an outage of the store itself: one may just be cut off.
+// outageReaders is how many readers in a row must say that their reading fails,
+// to be taken for an outage of the store itself: one may just be cut off. A reader
+// that does not answer says nothing of the store, as it may be dead.
 const outageReaders = 2
 
+// ReaderWord is what came of a question to a reader.
+type ReaderWord int
+
+// The words of a reader.
+const (
+	ReaderSilent  ReaderWord = iota // no answer
+	ReaderFailing                   // the store fails it
+	ReaderWell                      // it reads the store with success
+)
+
+// String returns the word's name.
+func (w ReaderWord) String() string { return [...]string{"silent", "failing", "well"}[w] }
+
 // ReaderTurn says which of some readers is asked next: the same as long as it
 // does well, else the next. The zero value begins with the first.
 type ReaderTurn struct {
-	mu    sync.Mutex
-	at    int
-	fails int // in a row, each another reader's
-	good  int // answers of the present reader
+	mu      sync.Mutex
+	at      int
+	fails   int // in a row, each another reader's
+	failing int // those of them that said so themselves
+	good    int // answers of the present reader
 }
 
 // Next returns the place of the reader to ask among count.
@@ -87,31 +102,40 @@
 	return t.at
 }
 
-// Heard takes in whether the reader at a place reads the store with success, and
-// reports whether another one is asked from now on.
-func (t *ReaderTurn) Heard(at int, ok bool) bool {
+// Heard takes in the word of the reader at a place, and reports whether another
+// one is asked from now on.
+func (t *ReaderTurn) Heard(at int, w ReaderWord) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	before := t.at
-	switch {
-	case at != t.at:
-		// An answer that comes late says nothing of the present reader.
-	case !ok:
+	if at != t.at {
+		return false // a word that comes late says nothing of the present reader
+	}
+	if w != ReaderWell {
 		t.at++
 		t.fails++
 		t.good = 0
-	default:
-		t.fails = 0
-		if t.good++; t.good >= returnAfter {
-			t.at, t.good = 0, 0
+		if w == ReaderFailing {
+			t.failing++
 		}
+		return true
 	}
-	return t.at != before
+	t.fails, t.failing = 0, 0
+	if t.good++; t.good >= returnAfter {
+		t.at, t.good = 0, 0
+	}
+	return t.at != at
 }
 
-// Failed returns how many readers in a row have failed.
+// Failed returns how many readers in a row have not done well.
 func (t *ReaderTurn) Failed() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.fails
 }
+
+// Outage reports whether the readers' words tell that the store is away for all.
+func (t *ReaderTurn) Outage() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.failing >= outageReaders
+}
