--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -98,7 +98,7 @@
 	d.table = &platform.Table{Store: d.store, Name: ownTable}
 	d.cloud = platform.NewCloud(site.Cloud, d.outside)
 	d.catalog.d = d
-	d.runners = runnerKeeper{d: d, byID: make(map[string]platform.Runner), rows: make(map[string]heldRow), ended: make(map[string]int64), missing: make(map[string]bool)}
+	d.runners = runnerKeeper{d: d, byID: make(map[string]platform.Runner), rows: make(map[string]heldRow), ended: make(map[string]int64), found: make(map[string]time.Time), missing: make(map[string]bool)}
 	d.tallies = NewTallies(d.Self)
 	d.sends.wake = make(chan struct{}, 1)
 	d.Server = request.NewServer(d.options(), conn.NewClient(n, defaultBody), nil, nil, log)
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -33,14 +33,14 @@
 	version  int64 // of the store, up to which the list is complete
 	changed  int64 // of the store, at which the list was last found changed
 	byID     map[string]platform.Runner
-	rows     map[string]heldRow // their entries, for other daemons
-	ended    map[string]int64   // the store's version at which entries went, for other daemons
-	floor    int64              // what went up to this version is not in ended
-	missing  map[string]bool    // entries that went while the store was away
-	readAt   time.Time          // of the first whole list; zero before
-	foundAt  time.Time          // when an endpoint was last found
-	failedAt time.Time          // the last time the store did not answer, or its return after that
-	away     bool               // the store has not answered since then
+	rows     map[string]heldRow   // their entries, for other daemons
+	ended    map[string]int64     // the store's version at which entries went, for other daemons
+	floor    int64                // what went up to this version is not in ended
+	missing  map[string]bool      // entries that went while the store was away
+	readAt   time.Time            // of the first whole list; zero before
+	found    map[string]time.Time // when each endpoint was found
+	failedAt time.Time            // the last time the store did not answer, or its return after that
+	away     bool                 // the store has not answered since then
 }
 
 // heldRow is an entry as the store holds it.
@@ -121,7 +121,7 @@
 	})
 	fields := logrus.Fields{"part": "endpoints", "endpoint": r.ID, "service": r.Service, "zone": r.Zone, "address": r.Address, "reclaimable": r.Reclaimable}
 	if !known {
-		k.foundAt = now
+		k.found[r.ID] = now
 		k.d.log.WithFields(fields).Info("endpoint found")
 	}
 	if r.Leaving && !(known && old.Leaving) && t != nil {
@@ -155,6 +155,7 @@
 func (k *runnerKeeper) drop(id string, r platform.Runner) {
 	delete(k.byID, id)
 	delete(k.missing, id)
+	delete(k.found, id)
 	k.unlist(id)
 	k.d.work(r.Service).Pool.Forget(id)
 	k.d.log.WithFields(logrus.Fields{"part": "endpoints", "endpoint": id, "service": r.Service}).Info("endpoint gone")
@@ -239,15 +240,21 @@
 	return !k.readAt.IsZero()
 }
 
-// knownFor returns how long ago the endpoints were read first, and how long ago
-// one was last found; less than 0 if they were not read yet.
-func (k *runnerKeeper) knownFor(now time.Time) (read, found time.Duration) {
+// knownFor returns how long ago the endpoints were read first, less than 0 if they
+// were not read yet, and which share of them was found within the last span.
+func (k *runnerKeeper) knownFor(now time.Time, span time.Duration) (read time.Duration, late float64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.readAt.IsZero() {
-		return -1, -1
+		return -1, 1
 	}
-	return now.Sub(k.readAt), now.Sub(k.foundAt)
+	n := 0
+	for _, at := range k.found {
+		if now.Sub(at) < span {
+			n++
+		}
+	}
+	return now.Sub(k.readAt), float64(n) / float64(max(len(k.found), 1))
 }
 
 // all returns the endpoints known.
--- a/entry/scale.go
+++ b/entry/scale.go
@@ -29,11 +29,12 @@
 	// countBeats is how many heartbeats after the first list of endpoints they
 	// are counted at the earliest: all were just started where the daemons were,
 	// and the last was seen to write itself to the store 2.4 heartbeats after that
-	// list. If the last was found less than quietBeats before, they are not
-	// counted yet: 70 of 90 were found after 2.7 (trouble-2 of trmdo-bkk-grown).
-	// After countMost they are counted all the same.
+	// list. If more than lateShare of them were found in the last quietBeats, they
+	// are not counted yet: 70 of 90 were found after 2.7 (trouble-2 of
+	// trmdo-bkk-grown). After countMost they are counted all the same.
 	countBeats = 2.7
 	quietBeats = 0.5
+	lateShare  = 0.1
 	countMost  = 4.5
 	// demandRise and demandFall are how fast the demand that is planned for
 	// follows the demand that is seen.
@@ -153,9 +154,9 @@
 // countable reports whether all endpoints that were there at the start are
 // likely to have been found.
 func (x *scaleDuty) countable(now time.Time) bool {
-	read, found := x.d.runners.knownFor(now)
 	beats := func(n float64) time.Duration { return time.Duration(n * float64(x.d.Site().Bounds.Heartbeat)) }
-	return read >= beats(countBeats) && (found >= beats(quietBeats) || read >= beats(countMost))
+	read, late := x.d.runners.knownFor(now, beats(quietBeats))
+	return read >= beats(countBeats) && (late <= lateShare || read >= beats(countMost))
 }
 
 func (x *scaleDuty) service(ctx context.Context, f platform.Fence, u *duties, b version.Backend) {
