streambend: a change of the settings during a planned stop ends nothing

The handler of SIGHUP was taken back as soon as the stop began, so that one that came meanwhile ended the process. It is now kept until the end. By hand: SIGHUP 0.3 s after SIGTERM, exit by the signal after 0.31 s before, exit 0 after 2.53 s now. Ruled out: memory (16.5 MB of 184) and a panic (standard error is empty).

--- a/cmd/streambend/entry.go
+++ b/cmd/streambend/entry.go
@@ -81,16 +81,17 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	c.follow(ctx, log, lines, d)
+	// Signals are taken until the process has stopped: one that comes meanwhile
+	// must not end it before its requests are done.
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	c.follow(ctx, hup, log, lines, d)
 	d.Stop(context.Background())
 	return nil
 }
 
 // follow takes changed settings in until ctx ends.
-func (c *entryCommand) follow(ctx context.Context, log *logrus.Logger, lines *entry.Lines, d *entry.Daemon) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+func (c *entryCommand) follow(ctx context.Context, hup <-chan os.Signal, log *logrus.Logger, lines *entry.Lines, d *entry.Daemon) {
 	tick := time.NewTicker(settingsPeriod)
 	defer tick.Stop()
 	changed := c.changed()
--- a/internal/soak/daemon.go
+++ b/internal/soak/daemon.go
@@ -35,6 +35,7 @@
 	ended   chan struct{}
 	planned time.Time // of the last SIGTERM
 	ready   bool
+	hungUp  bool // it was ended by the word of changed settings
 }
 
 // Ports hands out addresses of loopback that are free, each only once: the
@@ -123,8 +124,10 @@
 	d.cmd, d.ended = cmd, ended
 	go func() {
 		cmd.Wait() // how it ended is in its log
+		status, ok := cmd.ProcessState.Sys().(syscall.WaitStatus)
 		d.mu.Lock()
 		defer d.mu.Unlock()
+		d.hungUp = d.hungUp || ok && status.Signaled() && status.Signal() == syscall.SIGHUP
 		if d.cmd == cmd {
 			d.cmd = nil
 		}
@@ -149,11 +152,21 @@
 	return d.ended
 }
 
-// stop ends the process as planned, and by force once its grace is over.
+// hupAfter is how long after the signal to stop the word of changed settings
+// follows: while requests that were in flight still run.
+const hupAfter = 300 * time.Millisecond
+
+// stop ends the process as planned, and by force once its grace is over. A change
+// of the settings falls into the stop, which must not end it early.
 func (d *daemon) stop() {
 	ended := d.signal(syscall.SIGTERM)
 	select {
 	case <-ended:
+	case <-time.After(hupAfter):
+		d.signal(syscall.SIGHUP)
+	}
+	select {
+	case <-ended:
 	case <-time.After(graceTime):
 		<-d.signal(syscall.SIGKILL)
 	}
@@ -181,6 +194,13 @@
 	d.ready = ok
 }
 
+// wasHungUp reports whether the process was ever ended by SIGHUP.
+func (d *daemon) wasHungUp() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.hungUp
+}
+
 func (d *daemon) isReady() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -95,6 +95,11 @@
 	w.wg.Wait()
 	ran := w.check.runs(w.runners)
 	w.check.duties(append(w.api.Calls("/usage"), w.api.Calls("/scale")...))
+	for _, d := range w.daemons {
+		if d.wasHungUp() {
+			w.check.fail("%s ended at a change of its settings", d.name)
+		}
+	}
 	return &Report{Seed: o.Seed, Asked: len(w.check.asked), Ran: ran, Answers: w.check.answers, Events: w.events, Broken: w.check.broken}, nil
 }
 
