--- a/entry/outage_test.go
+++ b/entry/outage_test.go
@@ -87,20 +87,37 @@
 	assert.Equal(t, 0, turn.Next(1), "the others have gone")
 }
 
-// hunt-20c7-3 of alonzo-podwave: daemons that had been killed were asked in vain,
-// and what left the store meanwhile was held and used for too long.
-func TestDeadReadersAreNoOutageOfTheStore(t *testing.T) {
-	var turn entry.ReaderTurn
-	for i := range 4 {
-		turn.Heard(i, entry.ReaderSilent)
-		assert.False(t, turn.Outage(), "after %d", i+1)
-	}
-	turn.Heard(4, entry.ReaderFailing)
-	assert.False(t, turn.Outage(), "one may be cut off")
-	turn.Heard(5, entry.ReaderFailing)
-	assert.True(t, turn.Outage())
-	turn.Heard(6, entry.ReaderWell)
-	assert.False(t, turn.Outage())
+// hunt-20c7-3 and scale-2 with seed 241760720034 of alonzo-podwave: what left the
+// store while readers were dead or cut off was held and used for too long.
+func TestReadersThatAreCutOffHoldNothingUp(t *testing.T) {
+	inZones(t, 12, []string{"a", "b", "c", "d"}, func(w *world) {
+		w.runner(plain, "a", "i-stays", 0)
+		time.Sleep(3 * time.Second)
+		members := w.daemons[0].Hub.Mesh.Members()
+		away := make(map[string]bool)
+		for _, zone := range []string{"a", "b", "c"} {
+			reader, _ := entry.Reader(zone, members)
+			away[reader.Name] = true
+		}
+		w.store.SetFault(standin.RowsFault{Away: away})
+		time.Sleep(2 * time.Second)
+		for k := range 6 {
+			id := fmt.Sprint("i-", k)
+			r := w.runner(plain, "a", id, 0)
+			time.Sleep(700 * time.Millisecond)
+			w.store.Drop(platform.RunnerTable, "", id)
+			time.Sleep(1200 * time.Millisecond)
+			before := len(r.Ran())
+			for i, d := range w.daemons {
+				for n := range 8 {
+					if !away[d.Self.Name] {
+						w.ask(i, http.MethodPost, "/write/", fmt.Sprint("id-", k, "-", i, "-", n))
+					}
+				}
+			}
+			assert.Len(t, r.Ran(), before, "%s has gone, and the store is there", id)
+		}
+	})
 }
 
 func TestADaemonsOwnZoneIsAskedFirst(t *testing.T) {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -99,19 +99,18 @@
 	d.run(func() { d.askPeer(ctx, m.Name) })
 }
 
-// hearReader takes in the word of a reader. When one after the other says that the
-// store fails it, the store is away for all of them, and entries lapse.
+// hearReader takes in the word of a reader. That the store fails readers says
+// nothing of what has lapsed there, as just they may be cut off; once all fail,
+// this daemon reads for itself and sees. That one does well ends an outage which
+// this daemon has had.
 func (d *Daemon) hearReader(at int, name string, w ReaderWord) {
 	if d.readerTurn.Heard(at, w) {
 		d.log.WithFields(logrus.Fields{
 			"part": "peers", "reader": name, "word": w.String(), "failed_in_a_row": d.readerTurn.Failed(),
 		}).Info("another reader is asked from now on")
 	}
-	switch {
-	case w == ReaderWell:
+	if w == ReaderWell {
 		d.runners.storeBack(time.Now())
-	case d.readerTurn.Outage():
-		d.storeFailed(time.Now())
 	}
 }
 
--- a/entry/readers.go
+++ b/entry/readers.go
@@ -64,11 +64,6 @@
 // zone's is asked again.
 const returnAfter = 10
 
-// outageReaders is how many readers in a row must say that their reading fails,
-// to be taken for an outage of the store itself: one may just be cut off. A reader
-// that does not answer says nothing of the store, as it may be dead.
-const outageReaders = 2
-
 // ReaderWord is what came of a question to a reader.
 type ReaderWord int
 
@@ -85,11 +80,10 @@
 // ReaderTurn says which of some readers is asked next: the same as long as it
 // does well, else the next. The zero value begins with the first.
 type ReaderTurn struct {
-	mu      sync.Mutex
-	at      int
-	fails   int // in a row, each another reader's
-	failing int // those of them that said so themselves
-	good    int // answers of the present reader
+	mu    sync.Mutex
+	at    int
+	fails int // in a row, each another reader's
+	good  int // answers of the present reader
 }
 
 // Next returns the place of the reader to ask among count.
@@ -114,12 +108,9 @@
 		t.at++
 		t.fails++
 		t.good = 0
-		if w == ReaderFailing {
-			t.failing++
-		}
 		return true
 	}
-	t.fails, t.failing = 0, 0
+	t.fails = 0
 	if t.good++; t.good >= returnAfter {
 		t.at, t.good = 0, 0
 	}
@@ -132,10 +123,3 @@
 	defer t.mu.Unlock()
 	return t.fails
 }
-
-// Outage reports whether the readers' words tell that the store is away for all.
-func (t *ReaderTurn) Outage() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.failing >= outageReaders
-}
