capacity, entry: plan endpoints by queueing, spare ones by price, make before break

Change: package capacity (Demand, Enough, Plan, Hold): numbers by Sakasegawa's approximation at a tenth of the shortest target, spare reclaimable ones by their price, on demand kept until others have answered, refusals asked again each second, a first start ordered before the count.

--- /dev/null
+++ b/capacity/enough_test.go
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: MIT
+
+package capacity_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"streambend.example/capacity"
+)
+
+func load() capacity.Load {
+	return capacity.Load{Busy: 3.6, Read: 34 * time.Millisecond, Spread: 6, Target: 250 * time.Millisecond}
+}
+
+func TestEnoughEndpointsKeepTheWaitShort(t *testing.T) {
+	n := capacity.Enough(load())
+	assert.Greater(t, n, 4, "all would be busy")
+	assert.LessOrEqual(t, n, 8)
+	l := load()
+	l.Spread = 30
+	assert.Greater(t, capacity.Enough(l), n, "prompts that differ more wait longer")
+	l = load()
+	l.Target = 2 * time.Second
+	assert.Less(t, capacity.Enough(l), n, "a longer target bears a longer wait")
+	l = load()
+	l.Places = 9
+	assert.Equal(t, 12, capacity.Enough(l), "three quarters of the places")
+}
+
+func TestLargeServicesNeedLessToSpare(t *testing.T) {
+	small, large := load(), load()
+	large.Busy *= 10
+	use := func(l capacity.Load) float64 { return l.Busy / float64(capacity.Enough(l)) }
+	assert.Greater(t, use(large), use(small))
+}
+
+func TestEnoughGrowsWithTheLoad(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := load()
+		l.Busy = rapid.Float64Range(0, 3000).Draw(t, "busy")
+		l.Spread = rapid.Float64Range(0, 50).Draw(t, "spread")
+		n := capacity.Enough(l)
+		if float64(n) <= l.Busy {
+			t.Fatalf("%d endpoints for %f busy", n, l.Busy)
+		}
+		l.Busy *= 1.5
+		if capacity.Enough(l) < n {
+			t.Fatalf("fewer for more")
+		}
+	})
+}
+
+func TestDemandIsFollowedAfterAWhile(t *testing.T) {
+	var d capacity.Demand
+	at := time.Unix(1000, 0)
+	d.Take(at, 0)
+	assert.False(t, d.Seen)
+	for i := 1; i <= 10; i++ {
+		d.Take(at.Add(time.Duration(i)*2*time.Second), time.Duration(i)*6*time.Second)
+	}
+	assert.True(t, d.Seen)
+	assert.InDelta(t, 3, d.Busy, 0.1)
+	d.Take(at.Add(22*time.Second), 60*time.Second)
+	assert.Greater(t, d.Busy, 2.0, "what falls is followed more slowly")
+}
+
+func TestFewerAreOrderedOnlyAfterAWhile(t *testing.T) {
+	var h capacity.Hold
+	at := time.Unix(1000, 0)
+	have := map[capacity.Kind]int{spot("a"): 5}
+	plan := func(n int) []capacity.Order { return []capacity.Order{{Kind: spot("a"), Count: n}} }
+	assert.Equal(t, plan(5), h.Settle(at, plan(3), have))
+	assert.Equal(t, plan(6), h.Settle(at.Add(5*time.Second), plan(6), have), "more at once")
+	assert.Equal(t, plan(5), h.Settle(at.Add(9*time.Second), plan(3), have), "counted anew")
+	assert.Equal(t, plan(3), h.Settle(at.Add(18*time.Second), plan(3), have))
+}
--- a/entry/doc.go
+++ b/entry/doc.go
@@ -12,6 +12,6 @@
 //	<-ctx.Done()
 //	d.Stop(context.Background())
 //
-// What decides (Freshness, Quota, Tallies, PlanScale) is given the present time
+// What decides (Freshness, Quota, Tallies, capacity.Plan) is given the present time
 // and does no input or output.
 package entry
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -257,6 +257,17 @@
 	return now.Sub(k.readAt), float64(n) / float64(max(len(k.found), 1))
 }
 
+// listedFor returns how long ago an endpoint was found.
+func (k *runnerKeeper) listedFor(now time.Time, id string) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	at, ok := k.found[id]
+	if !ok {
+		return 0
+	}
+	return now.Sub(at)
+}
+
 // all returns the endpoints known.
 func (k *runnerKeeper) all() []platform.Runner {
 	k.mu.Lock()
--- a/entry/scale.go
+++ b/entry/scale.go
@@ -4,8 +4,8 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
-	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -13,6 +13,8 @@
 	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
+	"streambend.example/capacity"
+	"streambend.example/mechanism"
 	"streambend.example/platform"
 	"streambend.example/version"
 )
@@ -22,10 +24,14 @@
 	scaleTable = "streambend-scale"
 	// orderAgain is how long an order that was taken is waited for.
 	orderAgain = 6 * time.Second
-	// drySpell is how long after a refusal a kind in a zone is asked for again.
-	drySpell = 1500 * time.Millisecond
-	// dryMost is what that time grows to while refusals go on.
-	dryMost = 5 * time.Second
+	// dryProbe is how long after a refusal endpoints are asked for again. A call costs as much as a twentieth of a
+	// second of an endpoint on demand; ten of those stood in for reclaimable ones
+	// 5 s longer than needed when a refused zone was asked again after 5 s.
+	dryProbe = time.Second
+	// dryGrowth is by how much that time grows with each refusal in a row, and
+	// dryMost what it grows to, where refusals go on.
+	dryGrowth = 1.1
+	dryMost   = 5 * time.Second
 	// countBeats is how many heartbeats after the first list of endpoints they
 	// are counted at the earliest: all were just started where the daemons were,
 	// and the last was seen to write itself to the store 2.4 heartbeats after that
@@ -36,74 +42,56 @@
 	quietBeats = 0.5
 	lateShare  = 0.1
 	countMost  = 4.5
-	// demandRise and demandFall are how fast the demand that is planned for
-	// follows the demand that is seen.
-	demandRise = 2 * time.Second
-	demandFall = 8 * time.Second
-	// firmHold is how long too many of the dear endpoints are kept, in case they
-	// are needed again.
-	firmHold = 3 * time.Second
+	// servingAfter is from when on an endpoint that is listed is taken to serve
+	// though nothing of this daemon's was answered there.
+	servingAfter = 3 * time.Second
+	// noQueueUse is the share of their time that endpoints are to read prompts
+	// where no queueing is reckoned with.
+	noQueueUse = 0.55
 )
 
 // scaleDuty orders endpoints.
 type scaleDuty struct {
-	d      *Daemon
-	state  map[string]*serviceScale
-	demand map[string]*demand
+	d       *Daemon
+	state   map[string]*serviceScale
+	watched map[string]*scaleWatch
 }
 
-type serviceScale struct {
-	base    map[string]int
-	ordered map[ScaleKind]scaleOrdered
-	refused map[ScaleKind]time.Time
-	spell   map[ScaleKind]time.Duration // since the last refusal in a row
-	spare   time.Time                   // since when there are too many dear endpoints
+// scaleWatch is what every daemon follows of a service, so that a new holder
+// knows it.
+type scaleWatch struct {
+	demand capacity.Demand
 }
 
-// demand follows how many endpoints would be busy all the time, and how many
-// requests run at them. Both follow what is seen only after a while: daemons that
-// have all just started get at once what callers have kept back meanwhile.
-type demand struct {
-	at   time.Time
-	read time.Duration
-	need float64
-	seen bool
-
-	counted time.Time // when running was followed last
-	running float64
+// refused reports whether endpoints were refused lately in some zone.
+func (s *serviceScale) refused(reclaimable bool) bool {
+	for k := range s.dry {
+		if k.Reclaimable == reclaimable {
+			return true
+		}
+	}
+	return false
 }
 
-// count takes in how many requests run at a service's endpoints.
-func (d *demand) count(now time.Time, running int) {
-	if !d.counted.IsZero() {
-		d.running += (float64(running) - d.running) * followed(now.Sub(d.counted), float64(running) > d.running)
-	}
-	d.counted = now
+// had takes in that some are to be had: the other zones are asked again at once.
+func (s *serviceScale) had(reclaimable bool) {
+	maps.DeleteFunc(s.dry, func(k capacity.Kind, _ drySpell) bool { return k.Reclaimable == reclaimable })
 }
 
-// followed returns by which share of its distance a value is followed in a time.
-func followed(dt time.Duration, rises bool) float64 {
-	span := demandFall
-	if rises {
-		span = demandRise
-	}
-	return 1 - math.Exp(-dt.Seconds()/span.Seconds())
+// drySpell is the time in which endpoints of a kind are refused.
+type drySpell struct {
+	until time.Time     // when to ask again
+	pause time.Duration // before that; 0 while none is refused
 }
 
-// take takes in the reading ever asked of a service.
-func (d *demand) take(now time.Time, read time.Duration) {
-	if d.at.IsZero() {
-		d.at, d.read = now, read
-		return
-	}
-	dt := now.Sub(d.at)
-	if dt < demandRise {
-		return
-	}
-	rate := (read - d.read).Seconds() / dt.Seconds()
-	d.seen = d.seen || rate > 0
-	d.need += (rate - d.need) * followed(dt, rate > d.need)
-	d.at, d.read = now, read
+// serviceScale is what the holder knows of its own orders.
+type serviceScale struct {
+	base    map[string]int
+	ordered map[capacity.Kind]scaleOrdered
+	dry     map[capacity.Kind]drySpell
+	hold    capacity.Hold
+	live    map[capacity.Kind]int // at the last look
+	planned string                // the last plan that was written to the log
 }
 
 type scaleOrdered struct {
@@ -112,7 +100,7 @@
 }
 
 func newScaleDuty(d *Daemon) scaleDuty {
-	return scaleDuty{d: d, state: make(map[string]*serviceScale), demand: make(map[string]*demand)}
+	return scaleDuty{d: d, state: make(map[string]*serviceScale), watched: make(map[string]*scaleWatch)}
 }
 
 // begin starts a term: what an earlier holder has ordered is not known.
@@ -129,23 +117,26 @@
 		if b.Scaling == nil {
 			continue
 		}
-		if x.demand[name] == nil {
-			x.demand[name] = &demand{}
+		w := x.watched[name]
+		if w == nil {
+			w = &scaleWatch{}
+			x.watched[name] = w
 		}
 		pool := x.d.work(name).Pool
-		x.demand[name].take(now, pool.Reading())
-		x.demand[name].count(now, x.d.tallies.Running(now, pool.Service))
+		w.demand.Take(now, pool.Reading())
+		w.demand.Count(now, x.d.tallies.Running(now, pool.Service))
 	}
 }
 
 // step sends the orders that are due.
 func (x *scaleDuty) step(ctx context.Context, f platform.Fence, u *duties) {
 	c := x.d.catalog.get()
-	if c == nil || !x.countable(time.Now()) {
+	if c == nil {
 		return
 	}
 	for _, name := range slices.Sorted(maps.Keys(c.Backend)) {
-		if b := c.Backend[name]; b.Scaling != nil {
+		b := c.Backend[name]
+		if b.Scaling != nil && (x.early(b.Name) || x.countable(time.Now())) {
 			x.service(ctx, f, u, b)
 		}
 	}
@@ -159,6 +150,13 @@
 	return read >= beats(countBeats) && (late <= lateShare || read >= beats(countMost))
 }
 
+// early reports whether a service of a system that starts for the first time is
+// ordered before its endpoints can be counted.
+func (x *scaleDuty) early(service string) bool {
+	w := x.watched[service]
+	return x.d.without.On(mechanism.EarlyStart) && x.d.Site().First && w != nil && !w.demand.Seen
+}
+
 func (x *scaleDuty) service(ctx context.Context, f platform.Fence, u *duties, b version.Backend) {
 	live := x.live(b.Name)
 	s := x.state[b.Name]
@@ -168,74 +166,120 @@
 			x.d.log.WithFields(logrus.Fields{"part": "scale", "service": b.Name}).Warnf("first numbers: %v", err)
 			return
 		}
-		s = &serviceScale{base: base, ordered: make(map[ScaleKind]scaleOrdered), refused: make(map[ScaleKind]time.Time), spell: make(map[ScaleKind]time.Duration)}
+		s = &serviceScale{base: base, ordered: make(map[capacity.Kind]scaleOrdered), dry: make(map[capacity.Kind]drySpell)}
 		x.state[b.Name] = s
 	}
 	now := time.Now()
+	s.forgetLost(live)
 	for _, o := range x.plan(now, b, s, live) {
-		if !s.due(now, o, live[o.ScaleKind]) {
+		if !s.due(now, o, live[o.Kind]) {
 			continue
 		}
 		if _, ok := u.mayAct(time.Now()); !ok {
 			return
 		}
-		x.order(ctx, f, b.Name, s, o)
+		x.order(ctx, f, b.Name, s, o, live[o.Kind])
 	}
 }
 
 // plan returns the orders that a service should have now.
-func (x *scaleDuty) plan(now time.Time, b version.Backend, s *serviceScale, live map[ScaleKind]int) []ScaleOrder {
-	pool := x.d.work(b.Name).Pool
-	asked := x.demand[b.Name]
-	need := -1.0
-	if asked.seen {
-		need = asked.need
-		if slots := pool.Slots(); slots > 0 {
-			need = math.Max(need, firmUse/placeUse*asked.running/slots)
-		}
+func (x *scaleDuty) plan(now time.Time, b version.Backend, s *serviceScale, live map[capacity.Kind]int) []capacity.Order {
+	w := x.watched[b.Name]
+	if w == nil {
+		return nil
 	}
-	coming := make(map[ScaleKind]int)
+	coming := make(map[capacity.Kind]int)
+	have := maps.Clone(live)
 	for k, o := range s.ordered {
 		if now.Sub(o.at) < b.Scaling.Startup+time.Second && o.count > live[k] {
 			coming[k] = o.count - live[k]
+			have[k] = o.count
 		}
 	}
-	plan := PlanScale(ScaleState{Scaling: *b.Scaling, Base: s.base, Live: live, Coming: coming, Need: need, Dry: len(s.spell) > 0, Idle: !asked.seen && x.d.Site().First})
-	return s.settle(now, plan, live, asked.seen)
+	on := x.d.without.On
+	state := capacity.State{
+		Limits: capacity.Limits(*b.Scaling), Found: s.base,
+		Live: live, Serving: x.serving(now, b.Name), Coming: coming, Enough: -1,
+		Dry: s.refused(true), Idle: !w.demand.Seen && x.d.Site().First, Early: x.early(b.Name),
+		NoPrice: !on(mechanism.SpareByPrice), NoHold: !on(mechanism.MakeBeforeBreak),
+	}
+	load := x.load(b, w)
+	if w.demand.Seen {
+		state.Enough = capacity.Enough(load)
+	}
+	plan := capacity.Plan(state)
+	if w.demand.Seen && on(mechanism.ScaleHold) {
+		plan = s.hold.Settle(now, plan, have)
+	}
+	if text := fmt.Sprint(plan); text != s.planned {
+		s.planned = text
+		x.d.log.WithFields(logrus.Fields{
+			"part": "scale", "service": b.Name, "enough": state.Enough, "busy": load.Busy, "places": load.Places, "read_ms": load.Read.Milliseconds(), "spread": load.Spread,
+			"live": sum(state.Live), "serving": sum(state.Serving), "coming": sum(coming), "dry": state.Dry, "plan": text,
+		}).Info("planned")
+	}
+	return plan
 }
 
-// settle leaves dear endpoints running for a while before they are given up.
-func (s *serviceScale) settle(now time.Time, plan []ScaleOrder, live map[ScaleKind]int, asked bool) []ScaleOrder {
-	fewer := false
-	for _, o := range plan {
-		fewer = fewer || !o.Reclaimable && o.Count < live[o.ScaleKind]
+// load returns what is asked of a service.
+func (x *scaleDuty) load(b version.Backend, w *scaleWatch) capacity.Load {
+	pool := x.d.work(b.Name).Pool
+	l := capacity.Load{Busy: w.demand.Busy}
+	if slots := pool.Slots(); slots > 0 {
+		l.Places = w.demand.Running / slots
 	}
-	if !fewer || !asked {
-		s.spare = time.Time{}
-		return plan
+	l.Read, l.Spread = pool.ReadTimes()
+	if c := x.d.catalog.get(); c != nil {
+		l.Target = c.ShortestTarget(b.Name)
 	}
-	if s.spare.IsZero() {
-		s.spare = now
+	if !x.d.without.On(mechanism.QueueModel) {
+		l = capacity.Load{Busy: l.Busy / noQueueUse, Places: l.Places}
 	}
-	if now.Sub(s.spare) >= firmHold {
-		return plan
+	return l
+}
+
+// serving counts the endpoints of a service that have answered, or are listed for
+// so long that they can.
+func (x *scaleDuty) serving(now time.Time, service string) map[capacity.Kind]int {
+	out := make(map[capacity.Kind]int)
+	pool := x.d.work(service).Pool
+	for _, r := range x.d.runners.all() {
+		if r.Service != service || r.Leaving {
+			continue
+		}
+		if t := pool.Get(r.ID); t != nil && (t.Answered() || x.d.runners.listedFor(now, r.ID) >= servingAfter) {
+			out[capacity.Kind{Zone: r.Zone, Reclaimable: r.Reclaimable}]++
+		}
+	}
+	return out
+}
+
+func sum(counts map[capacity.Kind]int) (n int) {
+	for _, c := range counts {
+		n += c
 	}
-	for i, o := range plan {
-		if !o.Reclaimable {
-			plan[i].Count = max(o.Count, live[o.ScaleKind])
+	return n
+}
+
+// forgetLost forgets the orders of zones whose endpoints have just gone, so that
+// they are ordered again at once: a refusal tells early that none are to be had.
+func (s *serviceScale) forgetLost(live map[capacity.Kind]int) {
+	for k := range s.live {
+		if live[k] == 0 && s.live[k] > 0 {
+			delete(s.ordered, k)
 		}
 	}
-	return plan
+	s.live = live
 }
 
 // due reports whether an order is to be sent now.
-func (s *serviceScale) due(now time.Time, o ScaleOrder, live int) bool {
-	if now.Before(s.refused[o.ScaleKind]) {
+func (s *serviceScale) due(now time.Time, o capacity.Order, live int) bool {
+	if more := o.Count > live; more && now.Before(s.dry[o.Kind].until) {
 		return false
 	}
-	last, ok := s.ordered[o.ScaleKind]
+	last, ok := s.ordered[o.Kind]
 	if !ok {
-		return o.Count > 0 || live > 0
+		return o.Count > 0 || live > 0 // none are there, and none are wanted
 	}
 	if last.count != o.Count {
 		return true
@@ -243,30 +287,32 @@
 	return live != o.Count && now.Sub(last.at) >= orderAgain
 }
 
-func (x *scaleDuty) order(ctx context.Context, f platform.Fence, service string, s *serviceScale, o ScaleOrder) {
+func (x *scaleDuty) order(ctx context.Context, f platform.Fence, service string, s *serviceScale, o capacity.Order, live int) {
 	call, cancel := context.WithTimeout(ctx, dutyCall)
 	defer cancel()
 	err := x.d.cloud.Scale(call, f, platform.Order{Service: service, Zone: o.Zone, Count: o.Count, Reclaimable: o.Reclaimable})
 	now := time.Now()
 	fields := logrus.Fields{"part": "scale", "service": service, "zone": o.Zone, "reclaimable": o.Reclaimable, "count": o.Count, "fence": f.Token}
 	if err != nil {
-		s.spell[o.ScaleKind] = min(max(2*s.spell[o.ScaleKind], drySpell), dryMost)
-		s.refused[o.ScaleKind] = now.Add(s.spell[o.ScaleKind])
-		delete(s.ordered, o.ScaleKind)
+		pause := min(time.Duration(dryGrowth*float64(max(s.dry[o.Kind].pause, dryProbe))), dryMost)
+		s.dry[o.Kind] = drySpell{now.Add(pause), pause}
+		delete(s.ordered, o.Kind)
 		x.d.log.WithFields(fields).Infof("not ordered: %v", err)
 		return
 	}
-	delete(s.spell, o.ScaleKind)
-	s.ordered[o.ScaleKind] = scaleOrdered{o.Count, now}
+	if o.Count > live {
+		s.had(o.Reclaimable)
+	}
+	s.ordered[o.Kind] = scaleOrdered{o.Count, now}
 	x.d.log.WithFields(fields).Info("ordered")
 }
 
 // live counts the endpoints of a service that take requests.
-func (x *scaleDuty) live(service string) map[ScaleKind]int {
-	out := make(map[ScaleKind]int)
+func (x *scaleDuty) live(service string) map[capacity.Kind]int {
+	out := make(map[capacity.Kind]int)
 	for _, r := range x.d.runners.all() {
 		if r.Service == service && !r.Leaving {
-			out[ScaleKind{r.Zone, r.Reclaimable}]++
+			out[capacity.Kind{Zone: r.Zone, Reclaimable: r.Reclaimable}]++
 		}
 	}
 	return out
@@ -274,7 +320,7 @@
 
 // base returns by zone how many endpoints the service was found with: the first
 // holder ever writes it down.
-func (x *scaleDuty) base(ctx context.Context, service string, live map[ScaleKind]int) (map[string]int, error) {
+func (x *scaleDuty) base(ctx context.Context, service string, live map[capacity.Kind]int) (map[string]int, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*answerLimit)
 	defer cancel()
 	rows, err := x.d.store.Rows(ctx, scaleTable, service, "")
--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -16,12 +16,22 @@
 // The mechanisms.
 const (
 	StartTime Name = iota
+	QueueModel
+	SpareByPrice
+	MakeBeforeBreak
+	ScaleHold
+	EarlyStart
 	count
 )
 
 // texts are the name that settings use, and what the mechanism does.
 var texts = [count]struct{ name, what string }{
-	StartTime: {"start-time", "an engine's time to a first event has a part that no prompt's length changes"},
+	StartTime:       {"start-time", "an engine's time to a first event has a part that no prompt's length changes"},
+	QueueModel:      {"queue-model", "endpoints by the expected wait for them, not by a share of their time"},
+	SpareByPrice:     {"spare-by-price", "spare reclaimable endpoints by their price, not twice as many as are needed"},
+	MakeBeforeBreak: {"make-before-break", "endpoints on demand are kept until reclaimable ones have answered"},
+	EarlyStart: {"early-start", "a service of a system that starts for the first time is ordered before its endpoints are counted"},
+	ScaleHold:       {"scale-hold", "fewer endpoints are ordered only once fewer were wanted for a while"},
 }
 
 // String returns the name that settings use.
--- a/request/pool.go
+++ b/request/pool.go
@@ -197,6 +197,10 @@
 	return p.cost.Counted()
 }
 
+// ReadTimes returns the mean time that a prompt takes to be read, as sent to the
+// engines lately, and the squared variation of that time; 0 while none is known.
+func (p *Pool) ReadTimes() (mean time.Duration, spread float64) { return p.cost.Times() }
+
 // InFlight returns how many requests of this daemon are at the endpoints.
 func (p *Pool) InFlight() int {
 	n := 0
--- a/request/readcost.go
+++ b/request/readcost.go
@@ -30,6 +30,8 @@
 	sampleTimes = 2
 	// forget is what is left of a sample's weight after the next.
 	forget = 0.98
+	// timesWeight is the weight of one prompt in the mean of reading times.
+	timesWeight = 0.002
 	// chunkTokens is how many tokens engines read between two steps of the
 	// streams that run.
 	chunkTokens = 4096
@@ -52,6 +54,8 @@
 
 	mu    sync.Mutex
 	total time.Duration // of all prompts that were sent
+	mean  float64       // seconds of those sent lately
+	sqr   float64       // and the mean of their squares
 	fit   fit
 
 	event float64 // tokens of an event; 0 while not known
@@ -190,6 +194,24 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.total += d
+	s := d.Seconds()
+	if c.mean == 0 {
+		c.mean, c.sqr = s, s*s
+		return
+	}
+	c.mean += timesWeight * (s - c.mean)
+	c.sqr += timesWeight * (s*s - c.sqr)
+}
+
+// Times returns the mean time of reading the prompts that were sent lately, and
+// the squared variation of it.
+func (c *ReadCost) Times() (mean time.Duration, spread float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.mean <= 0 {
+		return 0, 0
+	}
+	return time.Duration(c.mean * float64(time.Second)), c.sqr/(c.mean*c.mean) - 1
 }
 
 // Counted returns the time of reading that was ever sent to the engines.
--- a/request/target.go
+++ b/request/target.go
@@ -77,6 +77,7 @@
 	out     atomic.Bool   // leaving or ejected
 	ramp    atomic.Uint32 // share of its load bound it may take, as float bits
 	backlog *Backlog
+	answers atomic.Bool   // a request of this daemon was answered whole
 	sent    atomic.Uint32 // requests that this daemon has sent lately, fading, as float bits
 
 	mu       sync.Mutex
@@ -278,6 +279,7 @@
 // Succeed counts a success: it ends a row of failures and lets an endpoint
 // that has returned take more.
 func (t *Target) Succeed() {
+	t.answers.Store(true)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.fails = 0
@@ -288,6 +290,9 @@
 	}
 }
 
+// Answered reports whether a request of this daemon was ever answered whole there.
+func (t *Target) Answered() bool { return t.answers.Load() }
+
 // An endpoint is slow if slowAfter answers or more came on average at slowTimes
 // the service's usual pace. A full batch is about twice as slow as an empty one.
 const (
--- a/version/catalog.go
+++ b/version/catalog.go
@@ -177,6 +177,19 @@
 	return time.Duration(waitShares[min(len(ahead), len(waitShares)-1)] * float64(target))
 }
 
+// ShortestTarget returns the shortest target among the streaming routes of a
+// service, or 0 if there is none.
+func (c *Catalog) ShortestTarget(service string) time.Duration {
+	var target time.Duration
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if r.Streaming && r.Target > 0 && r.sharedWith(service) && (target == 0 || r.Target < target) {
+			target = r.Target
+		}
+	}
+	return target
+}
+
 func (r *PathRoute) sharedWith(service string) bool {
 	return slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service })
 }
