--- a/capacity/demand.go
+++ b/capacity/demand.go
@@ -9,9 +9,11 @@
 
 const (
 	// demandRise and demandFall are how fast the demand that is planned for
-	// follows the demand that is seen.
-	demandRise = 2 * time.Second
+	// follows the demand that is seen, demandStep is the time over which it is
+	// seen.
+	demandRise = time.Second
 	demandFall = 8 * time.Second
+	demandStep = 500 * time.Millisecond
 )
 
 // Demand follows how many endpoints would be busy all the time, and how many
@@ -52,7 +54,7 @@
 		return
 	}
 	dt := now.Sub(d.at)
-	if dt < demandRise {
+	if dt < demandStep {
 		return
 	}
 	rate := (read - d.read).Seconds() / dt.Seconds()
--- a/capacity/enough.go
+++ b/capacity/enough.go
@@ -16,7 +16,7 @@
 	arrivalSpread = 3
 	// headroom covers what the load grows by until what is ordered serves: a
 	// tide of a third within 20 s grows by 5% a second.
-	headroom = 1.3
+	headroom = 1.1
 	// placeUse is the share of their places that are to be taken.
 	placeUse = 0.75
 	// leastSpread is the squared variation of reading times that is taken while
