--- a/entry/catalog.go
+++ b/entry/catalog.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"streambend.example/mechanism"
 	"streambend.example/platform"
 	"streambend.example/version"
 )
@@ -18,6 +19,11 @@
 	// catalog. Each answer makes the catalog fresh again, so the wait is what an
 	// outage of the store finds already spent of the bound on revoked keys.
 	catalogWait = 500 * time.Millisecond
+	// patientWait is the same where no key stops to hold with the catalog's age: a
+	// change is told at once either way, and the wait only bounds how late a
+	// connection that has gone silent is noticed. Half of the calls for the catalog
+	// were answered with nothing new.
+	patientWait = time.Second
 	// answerLimit is how long beyond its wait an answer of the store may take.
 	answerLimit = 700 * time.Millisecond
 	// firstPause and lastPause bound the pause after a failed call.
@@ -83,9 +89,17 @@
 	return nil
 }
 
+// wait is how long the store holds the question for changes.
+func (k *catalogKeeper) wait() time.Duration {
+	if k.d.Site().Bounds.StrictRevocation || !k.d.without.On(mechanism.PatientFeed) {
+		return catalogWait
+	}
+	return patientWait
+}
+
 // follow keeps up with the store until ctx ends.
 func (k *catalogKeeper) follow(ctx context.Context) {
-	f := feeder{d: k.d, table: platform.CatalogTable, wait: catalogWait, name: "catalog"}
+	f := feeder{d: k.d, table: platform.CatalogTable, wait: k.wait, name: "catalog"}
 	f.run(ctx, func() int64 { return 0 }, func(now, sent time.Time, p platform.Page, _ bool) error {
 		if row, ok := platform.CatalogRow(p.Rows); ok {
 			if err := k.adopt(row.Value, "store"); err != nil {
--- a/entry/feeder.go
+++ b/entry/feeder.go
@@ -17,8 +17,8 @@
 type feeder struct {
 	d     *Daemon
 	table string
-	wait  time.Duration
-	name  string // for the log
+	wait  func() time.Duration // that the store holds a question
+	name  string               // for the log
 }
 
 // run hands each answer to take until ctx ends: whole is true for all rows of
@@ -87,9 +87,10 @@
 
 func (f *feeder) ask(ctx context.Context, at int64, whole bool) (platform.Page, error) {
 	if !whole {
-		ctx, cancel := context.WithTimeout(ctx, f.wait+answerLimit)
+		wait := f.wait()
+		ctx, cancel := context.WithTimeout(ctx, wait+answerLimit)
 		defer cancel()
-		return f.d.store.Feed(ctx, f.table, at, f.wait)
+		return f.d.store.Feed(ctx, f.table, at, wait)
 	}
 	ctx, cancel := context.WithTimeout(ctx, 2*answerLimit)
 	defer cancel()
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -55,7 +55,7 @@
 
 // follow keeps up with the store until ctx ends.
 func (k *runnerKeeper) follow(ctx context.Context) {
-	f := feeder{d: k.d, table: platform.RunnerTable, wait: runnerWait, name: "endpoints"}
+	f := feeder{d: k.d, table: platform.RunnerTable, wait: func() time.Duration { return runnerWait }, name: "endpoints"}
 	f.run(ctx, k.current, func(now, _ time.Time, p platform.Page, whole bool) error {
 		k.storeBack(now)
 		k.take(now, p.Version, p.Rows, whole)
--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -21,6 +21,7 @@
 	MakeBeforeBreak
 	ScaleHold
 	EarlyStart
+	PatientFeed
 	count
 )
 
@@ -28,9 +29,10 @@
 var texts = [count]struct{ name, what string }{
 	StartTime:       {"start-time", "an engine's time to a first event has a part that no prompt's length changes"},
 	QueueModel:      {"queue-model", "endpoints by the expected wait for them, not by a share of their time"},
-	SpareByPrice:     {"spare-by-price", "spare reclaimable endpoints by their price, not twice as many as are needed"},
+	SpareByPrice:    {"spare-by-price", "spare reclaimable endpoints by their price, not twice as many as are needed"},
 	MakeBeforeBreak: {"make-before-break", "endpoints on demand are kept until reclaimable ones have answered"},
-	EarlyStart: {"early-start", "a service of a system that starts for the first time is ordered before its endpoints are counted"},
+	EarlyStart:      {"early-start", "a service of a system that starts for the first time is ordered before its endpoints are counted"},
+	PatientFeed:     {"patient-feed", "the store is asked for the catalog half as often where no key stops to hold with its age"},
 	ScaleHold:       {"scale-hold", "fewer endpoints are ordered only once fewer were wanted for a while"},
 }
 
