conn, entry: a planned stop cuts no request that has begun to arrive

Connections are now followed by our own listener: bytes that have come make one busy, bytes that come while it is closed are dropped.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -65,6 +65,8 @@
 	meters  *meters
 	outside *http.Client // towards store and cloud
 
+	inbound    conn.Connections // of callers
+	accepting  net.Listener     // for callers
 	callers    *http.Server
 	checks     *http.Server
 	peers      *http.Server
@@ -148,13 +150,14 @@
 }
 
 func (d *Daemon) serve(ls listeners) {
-	d.callers = &http.Server{Handler: &ingress{d}, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, ErrorLog: nil}
+	d.callers = &http.Server{Handler: &ingress{d}, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait, ConnState: d.inbound.State}
+	d.accepting = d.inbound.Listen(ls.callers)
 	d.checks = &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerWait, IdleTimeout: idleWait}
 	mux := http.NewServeMux()
 	mux.Handle(conn.PeerPath, d.Hub)
 	mux.Handle("GET /metrics", d.meters)
 	d.peers = &http.Server{Handler: mux, ReadHeaderTimeout: headerWait, IdleTimeout: idleWait}
-	d.run(func() { d.serveOn(d.callers, ls.callers) })
+	d.run(func() { d.serveOn(d.callers, d.accepting) })
 	d.run(func() { d.serveOn(d.checks, ls.checks) })
 	d.run(func() { d.serveOn(d.peers, ls.peers) })
 }
@@ -175,7 +178,7 @@
 }
 
 func (d *Daemon) serveOn(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		d.log.WithField("part", "process").Errorf("serve %s: %v", l.Addr(), err)
 	}
 }
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -51,6 +51,9 @@
 func (s *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	now := time.Now()
 	o := &order{call: platform.ReadCall(r.Header)}
+	if s.d.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	if err := s.accept(now, w, r, o); err != nil {
 		s.refuse(w, o, err)
 		return
--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -3,7 +3,9 @@
 package entry_test
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net/http"
 	"testing"
 	"testing/synctest"
@@ -300,6 +302,41 @@
 	})
 }
 
+// A box that is slow to read a request's head must not take its connection for
+// idle when it stops.
+func TestAPlannedStopCutsNoRequestThatArrives(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		r := w.runner(plain, "a", "i-1", 0)
+		c, err := w.net.Dial(w.t.Context(), "tcp", "10.0.0.0:80")
+		require.NoError(t, err)
+		defer c.Close()
+		read := bufio.NewReader(c)
+		head := "POST /write/ HTTP/1.1\r\nHost: " + host + "\r\nApi-Key: " + key + "\r\nContent-Length: 4\r\nStreambend-Request-Id: "
+		send := func(text string) {
+			_, err := io.WriteString(c, text)
+			require.NoError(t, err)
+		}
+		answered := func() {
+			resp, err := http.ReadResponse(read, nil)
+			require.NoError(t, err)
+			defer resp.Body.Close()
+			assert.Equal(t, http.StatusOK, resp.StatusCode)
+			io.Copy(io.Discard, resp.Body)
+		}
+		send(head + "id-1\r\n\r\nbody")
+		answered()
+		time.Sleep(100 * time.Millisecond)
+		send(head) // the connection was idle, and a part of a request has come
+		time.Sleep(10 * time.Millisecond)
+		go w.daemons[0].Stop(w.t.Context())
+		time.Sleep(100 * time.Millisecond)
+		send("id-2\r\n\r\nbody")
+		answered()
+		assert.Len(t, r.Ran(), 2)
+		time.Sleep(8 * time.Second)
+	})
+}
+
 func TestAnOutageOfOneReaderHoldsNobodyElseUp(t *testing.T) {
 	inWorld(t, 3, func(w *world) {
 		r := w.runner(plain, "a", "i-1", 0)
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -13,29 +13,47 @@
 	unreadyWait = 2400 * time.Millisecond
 	// stopMargin is left of the grace period for the last bytes.
 	stopMargin = 400 * time.Millisecond
+	// idleCheck is how often connections are closed that have become idle.
+	idleCheck = 50 * time.Millisecond
 	// leavePause lets the last frames go out.
 	leavePause = 100 * time.Millisecond
 )
 
-// Stop stops the daemon as planned: unready, then closed to new connections,
+// Stop stops the daemon as planned: unready, then without idle connections, closed to
+// new ones,
 // then finished, then gone.
 func (d *Daemon) Stop(ctx context.Context) {
 	began := time.Now()
 	d.stopping.Store(true)
 	d.judgeReady(began)
-	d.callers.SetKeepAlivesEnabled(false)
+	d.inbound.CloseIdle(began)
 	d.duties.release(ctx)
 	ctx, cancel := context.WithDeadline(ctx, began.Add(d.Site().Bounds.Grace-stopMargin))
 	defer cancel()
-	sleep(ctx, unreadyWait)
-	err := d.callers.Shutdown(ctx)
+	unready, cancelWait := context.WithTimeout(ctx, unreadyWait)
+	d.closeIdle(unready, false)
+	cancelWait()
+	d.accepting.Close() // the server has nothing else to do with it
+	open := d.closeIdle(ctx, true)
 	d.gossip(time.Now())
 	d.Hub.Leave(time.Now())
 	sleep(context.Background(), leavePause)
-	d.log.WithField("part", "process").Infof("stop: after %s, %v", time.Since(began).Round(time.Millisecond), err)
+	d.log.WithField("part", "process").Infof("stop: after %s, %d connections still at work", time.Since(began).Round(time.Millisecond), open)
 	d.Kill()
 }
 
+// closeIdle closes connections as they become idle, until ctx ends or, if that is
+// wanted, none is left. It returns how many stay open.
+func (d *Daemon) closeIdle(ctx context.Context, untilNone bool) (open int) {
+	for {
+		open = d.inbound.CloseIdle(time.Now())
+		if ctx.Err() != nil || untilNone && open == 0 {
+			return open
+		}
+		sleep(ctx, idleCheck)
+	}
+}
+
 // Kill ends the daemon without notice to anyone.
 func (d *Daemon) Kill() {
 	d.stopping.Store(true)
