conn, entry: a stopping daemon takes no further request on a connection

Now a connection ends with the request under way on it, as it did before that commit. Both tests fail without.

--- a/conn/idle.go
+++ b/conn/idle.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -19,8 +20,9 @@
 // slow box it closed one whose request it had read 6 ms before, and then passed
 // that request on. The zero value is ready.
 type Connections struct {
-	mu   sync.Mutex
-	open map[*tracked]struct{}
+	mu       sync.Mutex
+	open     map[*tracked]struct{}
+	draining atomic.Bool
 }
 
 // Listen returns a listener whose connections are followed.
@@ -28,11 +30,19 @@
 
 // State is a server's ConnState hook.
 func (c *Connections) State(nc net.Conn, s http.ConnState) {
-	if t, ok := nc.(*tracked); ok && s == http.StateIdle {
-		t.rest()
+	t, ok := nc.(*tracked)
+	if !ok || s != http.StateIdle {
+		return
+	}
+	t.rest()
+	if c.draining.Load() {
+		t.closeIdle(time.Now())
 	}
 }
 
+// Drain makes each connection end with the request that is under way on it.
+func (c *Connections) Drain() { c.draining.Store(true) }
+
 // CloseIdle closes the connections on which no request is under way or arriving,
 // and returns how many stay open.
 func (c *Connections) CloseIdle(now time.Time) (open int) {
--- a/conn/idle_test.go
+++ b/conn/idle_test.go
@@ -109,3 +109,16 @@
 	until(states, http.StateNew)
 	assert.Zero(t, c.CloseIdle(time.Now().Add(time.Minute)))
 }
+
+func TestADrainedConnectionTakesNoFurtherRequest(t *testing.T) {
+	var c conn.Connections
+	caller, states := serveOne(t, &c)
+	_, err := io.WriteString(caller, "GET / HTTP/1.1\r\nHost: a\r\n")
+	require.NoError(t, err)
+	c.Drain()
+	assert.Equal(t, "done", finish(t, caller, "\r\n"))
+	until(states, http.StateIdle)
+	until(states, http.StateClosed)
+	_, err = io.WriteString(caller, "GET / HTTP/1.1\r\n")
+	assert.Error(t, err)
+}
--- a/entry/state_test.go
+++ b/entry/state_test.go
@@ -302,6 +302,24 @@
 	})
 }
 
+// A caller that sends its next request at once after a long answer must not be
+// taken on by a daemon that is about to end.
+func TestAPlannedStopTakesNothingAfterALongAnswer(t *testing.T) {
+	inWorld(t, 2, func(w *world) {
+		r := w.runner(engines, "a", "i-1", 200) // 4 s
+		first := make(chan answer)
+		go func() {
+			first <- w.ask(0, http.MethodPost, "/digest/", "id-1", "Streambend-Deadline-Milliseconds", "12000")
+		}()
+		time.Sleep(200 * time.Millisecond)
+		go w.daemons[0].Stop(w.t.Context())
+		require.NoError(t, (<-first).err)
+		w.ask(0, http.MethodPost, "/digest/", "id-2")
+		assert.Len(t, r.Ran(), 1)
+		time.Sleep(8 * time.Second)
+	})
+}
+
 // A box that is slow to read a request's head must not take its connection for
 // idle when it stops.
 func TestAPlannedStopCutsNoRequestThatArrives(t *testing.T) {
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -26,6 +26,7 @@
 	began := time.Now()
 	d.stopping.Store(true)
 	d.judgeReady(began)
+	d.inbound.Drain()
 	d.inbound.CloseIdle(began)
 	d.duties.release(ctx)
 	ctx, cancel := context.WithDeadline(ctx, began.Add(d.Site().Bounds.Grace-stopMargin))
