--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -129,7 +129,10 @@
 	o.NoLimit = true
 	o.RouteWait = comeBack
 	o.Without = d.without
-	o.Sent, o.Homes = d.sends.add, d.many
+	o.Homes = d.many
+	if d.without.On(mechanism.SentWords) {
+		o.Sent = d.sends.add
+	}
 	b := d.Site().Bounds
 	o.Retry = &request.RetryBound{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack, Daemons: func() int { return len(d.Hub.Mesh.Members()) }}
 	return o
--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -22,6 +22,12 @@
 	ScaleHold
 	EarlyStart
 	PatientFeed
+	Admission
+	RereadCost
+	SetApart
+	SentWords
+	SilenceWatch
+	SlowEjection
 	count
 )
 
@@ -33,6 +39,12 @@
 	MakeBeforeBreak: {"make-before-break", "endpoints on demand are kept until reclaimable ones have answered"},
 	EarlyStart:      {"early-start", "a service of a system that starts for the first time is ordered before its endpoints are counted"},
 	PatientFeed:     {"patient-feed", "the store is asked for the catalog half as often where no key stops to hold with its age"},
+	Admission:       {"admission", "streams that would wait too long for an engine are refused at once"},
+	RereadCost:      {"reread-cost", "engines that keep a prompt's shared parts are preferred beyond the time they save"},
+	SetApart:        {"set-apart", "prompts that hold others up go to engines set apart for them"},
+	SentWords:       {"sent-words", "daemons tell each other of the prompts that they send"},
+	SilenceWatch:    {"silence-watch", "what may be repeated goes elsewhere when its endpoint is silent"},
+	SlowEjection:    {"slow-ejection", "plain endpoints that are far slower than the others get nothing for a while"},
 	ScaleHold:       {"scale-hold", "fewer endpoints are ordered only once fewer were wanted for a while"},
 }
 
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -15,6 +15,7 @@
 
 	"streambend.example/code"
 	"streambend.example/conn"
+	"streambend.example/mechanism"
 )
 
 // routeWait is how often a request without an endpoint looks again.
@@ -43,7 +44,7 @@
 
 // need is what this request asks of routing.
 func (r *run) need() Need {
-	n := Need{Plain: !r.r.IsModel(), Avoid: r.avoid, Weigh: r.r.Service.Weigh, Policy: r.opts.Route, Settled: r.r.Unrepeatable, Draw: r.draw()}
+	n := Need{Plain: !r.r.IsModel(), Avoid: r.avoid, Weigh: r.r.Service.Weigh, Policy: r.opts.Route, Settled: r.r.Unrepeatable, Draw: r.draw(), Without: r.opts.Without}
 	if n.Plain {
 		return n
 	}
@@ -94,7 +95,7 @@
 // Refused at once it can still be answered in time when it comes back.
 func (r *run) overloaded(c Choice) *code.Error {
 	x := r.r.Relay
-	if x == nil || x.WaitLimit == 0 || r.attempts > 0 || c.Wait <= x.WaitLimit {
+	if x == nil || x.WaitLimit == 0 || !r.opts.Without.On(mechanism.Admission) || r.attempts > 0 || c.Wait <= x.WaitLimit {
 		return nil
 	}
 	return code.New(code.Overloaded, "%s to read before it, %s at the most", c.Wait.Round(time.Millisecond), x.WaitLimit).
--- a/request/backlog.go
+++ b/request/backlog.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"streambend.example/mechanism"
 )
 
 // Part is a piece of a prompt; the pieces before the last are shared between
@@ -264,12 +266,15 @@
 		r := t.backlog.Read(now, n.Parts)
 		first := r.Wait + r.Own + r.Start + t.slotWait(n)
 		shared := r.Own.Seconds() * float64(r.Shared) / float64(max(r.Fresh, 1))
-		score := first.Seconds() + rereadWeight*shared
+		score := first.Seconds()
+		if n.Without.On(mechanism.RereadCost) {
+			score += rereadWeight * shared
+		}
 		if place := home.place(t); place >= 0 {
 			score -= homeHit[place] * (1 + rereadWeight) * shared
 		}
 		score += tieBreak * float64(mix(n.Draw, t.hash)%1024) / 1024
-		holds := n.Pause > 0 && float64(r.Held) > heldShare*float64(n.Pause)
+		holds := n.Pause > 0 && n.Without.On(mechanism.SetApart) && float64(r.Held) > heldShare*float64(n.Pause)
 		switch {
 		case holds:
 			score += heldCost * float64(t.load.Load())
--- a/request/relay.go
+++ b/request/relay.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"streambend.example/conn"
+	"streambend.example/mechanism"
 )
 
 // Codec translates between a Relay and the protocol of its endpoints.
@@ -183,7 +184,7 @@
 // not is left alone until its deadline: silence proves nothing.
 func (r *run) watchRelay(c Choice, cancel context.CancelCauseFunc) watchdog {
 	x := r.r.Relay
-	if r.r.Unrepeatable || r.runs+1 >= x.Attempts {
+	if r.r.Unrepeatable || r.runs+1 >= x.Attempts || !r.opts.Without.On(mechanism.SilenceWatch) {
 		return watchdog{}
 	}
 	wait := max(r.r.Route.Target.Duration, answerLeast) + c.First
--- a/request/route.go
+++ b/request/route.go
@@ -6,6 +6,7 @@
 	"math"
 	"time"
 
+	"streambend.example/mechanism"
 	"streambend.example/version"
 )
 
@@ -34,6 +35,7 @@
 	Draw        uint64        // what chance decides by, so that a seed gives the same choices
 	Parts       []Part        // of the prompt, where they are known
 	Pause       time.Duration // the longest pause of a stream that is in time; 0 if not known
+	Without     mechanism.Set // mechanisms that are switched off
 }
 
 // Choice is the endpoint chosen and why.
--- a/request/settle.go
+++ b/request/settle.go
@@ -11,6 +11,7 @@
 
 	"streambend.example/code"
 	"streambend.example/conn"
+	"streambend.example/mechanism"
 )
 
 const (
@@ -84,7 +85,7 @@
 		// Not at the first token: an endpoint that begins every answer and
 		// ends none would never be ejected.
 		t.Succeed()
-		if pace, ok := r.pace(now); ok && t.Paced(now, pace, r.work.Speed.Pace(!r.r.IsModel())) {
+		if pace, ok := r.pace(now); ok && r.opts.Without.On(mechanism.SlowEjection) && t.Paced(now, pace, r.work.Speed.Pace(!r.r.IsModel())) {
 			r.logEject(t, fmt.Sprintf("slow, %s where %s is usual", pace, r.work.Speed.Pace(!r.r.IsModel())))
 		}
 	case EndedUnsent, EndedBroken:
