--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -212,7 +212,8 @@
 		Host:  r.Host, Streaming: o.route.Streaming, Attempts: o.route.Attempts,
 		Prefix: prefix(o.call.Parts), PromptTokens: o.call.In, OutTokens: expectOut(o.call), Guess: o.call.Hint,
 		Pause: o.route.Pause, WaitLimit: c.WaitLimit(o.route, name), Parts: parts(o.call.Parts),
-		Begun: func(at time.Time) { s.d.begun(team, at) },
+		Begun:    func(at time.Time) { s.d.begun(team, at) },
+		Measured: s.d.meters.measured,
 	}
 	return req
 }
--- a/entry/meters.go
+++ b/entry/meters.go
@@ -18,7 +18,8 @@
 	left     metrics.Counter   // callers that left before their answer
 	failed   metrics.Counter   // endpoints' own failures passed on
 	whole    metrics.Histogram // whole answers, milliseconds from arrival to end
-	first    metrics.Histogram // milliseconds from arrival to the first byte of an answer
+	first    metrics.Histogram // milliseconds from an attempt's sending to its first event
+	off      metrics.Histogram // by how many milliseconds that was later than the model of the engines had it
 }
 
 // sampleSize bounds the memory of a histogram.
@@ -31,6 +32,7 @@
 	m.failed = metrics.GetOrRegisterCounter("answers.endpoint_failure", m.registry)
 	m.whole = m.histogram("answers.whole_ms")
 	m.first = m.histogram("answers.first_ms")
+	m.off = m.histogram("answers.first_off_ms")
 	return m
 }
 
@@ -45,6 +47,12 @@
 
 func (m *meters) answered(took time.Duration) { m.whole.Update(took.Milliseconds()) }
 
+// measured takes in the time to an answer's first event, beside the expected one.
+func (m *meters) measured(first, expected time.Duration) {
+	m.first.Update(first.Milliseconds())
+	m.off.Update((first - expected).Milliseconds())
+}
+
 func (m *meters) refused(c code.Code) {
 	metrics.GetOrRegisterCounter("errors."+c.Entry().Name, m.registry).Inc(1)
 }
--- a/entry/serve_test.go
+++ b/entry/serve_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -222,3 +223,16 @@
 		assert.Empty(t, r1.Ran())
 	})
 }
+
+func TestTheErrorOfTheModelIsShown(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		w.runner(engines, "a", "i-1", 3)
+		require.NoError(t, w.ask(0, http.MethodPost, "/digest/", "id-1", "Streambend-Prompt-Prefix", "a1:300,b2:50").err)
+		resp, err := w.client.Get("http://10.0.0.0:82/metrics")
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		assert.Regexp(t, `answers.first_off_ms\n\s+count:\s+1\n`, string(text))
+	})
+}
--- a/request/relay.go
+++ b/request/relay.go
@@ -52,12 +52,13 @@
 	Attempts     int    // endpoints that it may run at
 	Prefix       uint64 // names the shared head of the prompt; 0 for none
 	PromptTokens int
-	OutTokens    int                 // expected of the answer
-	Guess        int                 // the caller's own guess of them; 0 for none
-	Pause        time.Duration       // the longest in a stream that is in time; 0 if not known
-	Parts        []Part              // of the prompt, in order
-	WaitLimit    time.Duration       // how long it may wait until an engine begins to read it; 0 for no limit
-	Begun        func(now time.Time) // an endpoint has begun to work on it; may be nil
+	OutTokens    int                                 // expected of the answer
+	Guess        int                                 // the caller's own guess of them; 0 for none
+	Pause        time.Duration                       // the longest in a stream that is in time; 0 if not known
+	Parts        []Part                              // of the prompt, in order
+	WaitLimit    time.Duration                       // how long it may wait until an engine begins to read it; 0 for no limit
+	Begun        func(now time.Time)                 // an endpoint has begun to work on it; may be nil
+	Measured     func(first, expected time.Duration) // from an attempt's sending to its first event; may be nil
 
 	head   bool  // the answer's head has gone out
 	last   int64 // id of the last event that has gone out
@@ -292,6 +293,9 @@
 			first = false
 			now := time.Now()
 			r.first = now.Sub(r.started)
+			if x.Measured != nil {
+				x.Measured(r.first, r.expected)
+			}
 			x.begun(now)
 			r.life.on(eventStream)
 			c.Target.backlog.Begun(now, mark)
