--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -76,6 +76,7 @@
 	began      time.Time
 	heardAt    atomic.Int64 // when another daemon was last heard of what is admitted, nanoseconds after began
 	cutOff     atomic.Bool  // no other daemon is heard
+	counted    atomic.Bool  // the daemons' rows in the store were read
 	readerTurn ReaderTurn
 	asked      int // rounds of questions to daemons that are no readers; of one goroutine
 
@@ -299,14 +300,15 @@
 
 // share is the part of a limit over all daemons that this one may use.
 func (d *Daemon) share() float64 {
-	alive, known := 0, 0
+	first := d.Site().First
+	f := Fleet{CutOff: d.cutOff.Load(), Counted: first || d.counted.Load(), Unheard: !first && d.heardAt.Load() == 0}
 	for _, m := range d.Hub.Mesh.Known() {
-		known++
+		f.Known++
 		if m.State == conn.MemberAlive {
-			alive++
+			f.Alive++
 		}
 	}
-	return LimitShare(alive, known, d.cutOff.Load())
+	return f.LimitShare()
 }
 
 // judgeCutOff brings up to date whether this daemon, one of many, hears nobody.
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -92,11 +92,30 @@
 	return out
 }
 
+// assumedFleet is of how many daemons one takes itself to be that has started anew
+// and has not read yet how many there are.
+const assumedFleet = 32
+
+// Fleet is what a daemon knows of the others when it admits requests.
+type Fleet struct {
+	Alive, Known int  // daemons, with itself
+	CutOff       bool // it hears none of the others
+	Counted      bool // it has read how many there are, or the whole system has just begun
+	Unheard      bool // it has started anew and has not heard yet what others admit
+}
+
 // LimitShare returns the part of a limit over all daemons that one may use: as
-// much as it hears of them, and its own part alone if it hears nobody.
-func LimitShare(alive, known int, cutOff bool) float64 {
-	if cutOff {
+// much as it hears of them, and its own part alone while it hears nobody. Each of
+// 77 daemons that were killed together took the whole limit for its own until it
+// heard the others: a team got 15.9 million tokens in 8 s, of 13.6 million allowed.
+func (f Fleet) LimitShare() float64 {
+	known := max(f.Known, 1)
+	if !f.Counted {
+		known = max(known, assumedFleet)
+	}
+	alive := max(f.Alive, 1)
+	if f.CutOff || !f.Counted || f.Unheard && known > fullMesh {
 		alive = 1
 	}
-	return float64(max(alive, 1)) / float64(max(known, 1))
+	return float64(alive) / float64(known)
 }
--- a/entry/flow_test.go
+++ b/entry/flow_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"streambend.example/entry"
+	"streambend.example/version"
 )
 
 // units sums what is counted for one team.
@@ -56,7 +57,34 @@
 }
 
 func TestWhoHearsNobodyUsesItsOwnPartOfALimit(t *testing.T) {
-	assert.InDelta(t, 1, entry.LimitShare(80, 80, false), 0)
-	assert.InDelta(t, 0.5, entry.LimitShare(40, 80, false), 0)
-	assert.InDelta(t, 1.0/80, entry.LimitShare(70, 80, true), 1e-9)
+	share := func(f entry.Fleet) float64 { return f.LimitShare() }
+	assert.InDelta(t, 1, share(entry.Fleet{Alive: 80, Known: 80, Counted: true}), 0)
+	assert.InDelta(t, 0.5, share(entry.Fleet{Alive: 40, Known: 80, Counted: true}), 0)
+	assert.InDelta(t, 1.0/80, share(entry.Fleet{Alive: 70, Known: 80, Counted: true, CutOff: true}), 1e-9)
+}
+
+func TestWhoHasStartedAnewUsesItsOwnPartUntilItHearsTheOthers(t *testing.T) {
+	f := entry.Fleet{Alive: 80, Known: 80, Counted: true, Unheard: true}
+	assert.InDelta(t, 1.0/80, f.LimitShare(), 1e-9)
+	f.Unheard = false
+	assert.InDelta(t, 1, f.LimitShare(), 0)
+	assert.LessOrEqual(t, entry.Fleet{Alive: 1, Known: 1}.LimitShare(), 1.0/16, "how many there are is not known")
+	assert.InDelta(t, 1, entry.Fleet{Alive: 1, Known: 1, Counted: true, Unheard: true}.LimitShare(), 0, "there is no other")
+	assert.InDelta(t, 1, entry.Fleet{Alive: 7, Known: 7, Counted: true, Unheard: true}.LimitShare(), 0, "a few hear of each other at once")
+}
+
+func TestManyThatStartAnewDoNotPassALimitTogether(t *testing.T) {
+	const daemons = 77
+	team := &version.Tenant{Name: "x", Rate: 1000, Burst: 1000}
+	admitted := 0.0
+	for range daemons {
+		q := entry.NewQuotas(false)
+		for at := time.Duration(0); at < time.Second; at += 10 * time.Millisecond {
+			f := entry.Fleet{Alive: daemons, Known: daemons, Counted: at > 100*time.Millisecond, Unheard: true}
+			if _, ok := q.Admit(start.Add(at), team, 1, f.LimitShare()); ok {
+				admitted++
+			}
+		}
+	}
+	assert.LessOrEqual(t, admitted, 2.5*team.Rate, "the limit, its burst and what is not counted yet")
 }
--- a/entry/members.go
+++ b/entry/members.go
@@ -78,4 +78,5 @@
 		found = append(found, m)
 	}
 	d.Hub.Mesh.Learn(time.Now(), found)
+	d.counted.Store(true)
 }
--- a/entry/quota.go
+++ b/entry/quota.go
@@ -31,7 +31,7 @@
 
 // restartShare is the part of a bucket that a process finds which does not know
 // what was admitted before it: daemons that die again and again must not hand
-// the whole burst out each time.
+// the whole burst out each time. Of that it takes its share.
 const restartShare = 0.5
 
 // debtSeconds bounds how far a bucket goes below zero, as seconds of its rate:
@@ -45,7 +45,7 @@
 	if b == nil {
 		b = &bucket{level: t.Burst, at: now, rate: t.Rate, burst: t.Burst}
 		if !q.first {
-			b.level *= restartShare
+			b.level *= restartShare * share
 		}
 		q.buckets[t.Name] = b
 	}
