--- a/capacity/enough.go
+++ b/capacity/enough.go
@@ -11,6 +11,9 @@
 	// waitShare is the part of the shortest target that a prompt may wait on
 	// average until an engine reads it.
 	waitShare = 0.1
+	// blindShare is the part of the shortest target that a prompt may wait on
+	// average for others which were sent to its engine unheard of.
+	blindShare = 0.25
 	// arrivalSpread is the squared variation of the time between two requests:
 	// callers come in clumps of about three.
 	arrivalSpread = 3
@@ -32,6 +35,7 @@
 	Places float64       // endpoints whose places would all be taken
 	Read   time.Duration // the mean time to read a prompt; 0 if not known
 	Spread float64       // the squared variation of that time
+	Blind  time.Duration // how late daemons hear of the prompts that others send
 	Target time.Duration // the shortest among the service's routes; 0 if there is none
 }
 
@@ -42,6 +46,7 @@
 	if l.Read <= 0 || l.Target <= 0 {
 		return n
 	}
+	n = max(n, int(math.Ceil(busy*float64(l.Blind)/(blindShare*float64(l.Target)))))
 	for n < enoughMost && Wait(n, busy, l.Read, l.Spread) > time.Duration(waitShare*float64(l.Target)) {
 		n++
 	}
--- a/capacity/enough_test.go
+++ b/capacity/enough_test.go
@@ -31,6 +31,19 @@
 	assert.Equal(t, 12, capacity.Enough(l), "three quarters of the places")
 }
 
+// Prompts that are sent within the time until others hear of them meet at engines:
+// in that time each engine is sent its use times as much reading.
+func TestDaemonsThatHearLateNeedMore(t *testing.T) {
+	l := load()
+	l.Busy = 20
+	n := capacity.Enough(l)
+	l.Blind = 15 * time.Millisecond
+	assert.Equal(t, n, capacity.Enough(l), "short beside the target")
+	l.Blind = 130 * time.Millisecond
+	assert.GreaterOrEqual(t, float64(capacity.Enough(l))*l.Target.Seconds()*0.25, 20*l.Blind.Seconds())
+	assert.Greater(t, capacity.Enough(l), n)
+}
+
 func TestLargeServicesNeedLessToSpare(t *testing.T) {
 	small, large := load(), load()
 	large.Busy *= 10
--- a/entry/scale.go
+++ b/entry/scale.go
@@ -36,8 +36,8 @@
 	// are counted at the earliest: all were just started where the daemons were,
 	// and the last was seen to write itself to the store 2.4 heartbeats after that
 	// list. If more than lateShare of them were found in the last quietBeats, they
-	// are not counted yet: 70 of 90 were found after 2.7 (trouble-2 of
-	// trmdo-bkk-grown). After countMost they are counted all the same.
+	// are not counted yet: 70 of 90 were found after 2.7 on a
+	// large fleet. After countMost they are counted all the same.
 	countBeats = 2.7
 	quietBeats = 0.5
 	lateShare  = 0.1
@@ -229,6 +229,9 @@
 		l.Places = w.demand.Running / slots
 	}
 	l.Read, l.Spread = pool.ReadTimes()
+	if x.d.without.On(mechanism.BlindTime) {
+		l.Blind = x.d.sendsDelay()
+	}
 	if c := x.d.catalog.get(); c != nil {
 		l.Target = c.ShortestTarget(b.Name)
 	}
--- a/entry/sends.go
+++ b/entry/sends.go
@@ -115,6 +115,14 @@
 	}
 }
 
+// sendsDelay is how late daemons hear at the most of a prompt that another sends.
+func (d *Daemon) sendsDelay() time.Duration {
+	if d.many() {
+		return sendsPause + 2*relayPause
+	}
+	return sendsPause
+}
+
 // giveSends sends a frame to each of some daemons.
 func (d *Daemon) giveSends(to []string, sends []sentBy) {
 	if len(sends) == 0 || len(to) == 0 {
--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -17,6 +17,7 @@
 const (
 	StartTime Name = iota
 	QueueModel
+	BlindTime
 	SpareByPrice
 	MakeBeforeBreak
 	ScaleHold
@@ -35,6 +36,7 @@
 var texts = [count]struct{ name, what string }{
 	StartTime:       {"start-time", "an engine's time to a first event has a part that no prompt's length changes"},
 	QueueModel:      {"queue-model", "endpoints by the expected wait for them, not by a share of their time"},
+	BlindTime:       {"blind-time", "more endpoints where daemons hear late of the prompts that others send"},
 	SpareByPrice:    {"spare-by-price", "spare reclaimable endpoints by their price, not twice as many as are needed"},
 	MakeBeforeBreak: {"make-before-break", "endpoints on demand are kept until reclaimable ones have answered"},
 	EarlyStart:      {"early-start", "a service of a system that starts for the first time is ordered before its endpoints are counted"},
