--- a/entry/scale.go
+++ b/entry/scale.go
@@ -24,9 +24,10 @@
 	scaleTable = "streambend-scale"
 	// orderAgain is how long an order that was taken is waited for.
 	orderAgain = 6 * time.Second
-	// dryProbe is how long after a refusal endpoints are asked for again. A call costs as much as a twentieth of a
-	// second of an endpoint on demand; ten of those stood in for reclaimable ones
-	// 5 s longer than needed when a refused zone was asked again after 5 s.
+	// dryProbe is how long after a refusal endpoints are asked for again. A call
+	// costs as much as a twentieth of a second of an endpoint on demand; ten of
+	// those stood in for reclaimable ones 5 s longer than needed when a refused zone
+	// was asked again after 5 s.
 	dryProbe = time.Second
 	// dryGrowth is by how much that time grows with each refusal in a row, and
 	// dryMost what it grows to, where refusals go on.
@@ -36,8 +37,8 @@
 	// are counted at the earliest: all were just started where the daemons were,
 	// and the last was seen to write itself to the store 2.4 heartbeats after that
 	// list. If more than lateShare of them were found in the last quietBeats, they
-	// are not counted yet: 70 of 90 were found after 2.7 on a
-	// large fleet. After countMost they are counted all the same.
+	// are not counted yet: 70 of 90 were found after 2.7 on a large fleet. After
+	// countMost they are counted all the same.
 	countBeats = 2.7
 	quietBeats = 0.5
 	lateShare  = 0.1
@@ -63,21 +64,6 @@
 	demand capacity.Demand
 }
 
-// refused reports whether endpoints were refused lately in some zone.
-func (s *serviceScale) refused(reclaimable bool) bool {
-	for k := range s.dry {
-		if k.Reclaimable == reclaimable {
-			return true
-		}
-	}
-	return false
-}
-
-// had takes in that some are to be had: the other zones are asked again at once.
-func (s *serviceScale) had(reclaimable bool) {
-	maps.DeleteFunc(s.dry, func(k capacity.Kind, _ drySpell) bool { return k.Reclaimable == reclaimable })
-}
-
 // drySpell is the time in which endpoints of a kind are refused.
 type drySpell struct {
 	until time.Time     // when to ask again
@@ -94,6 +80,21 @@
 	planned string                // the last plan that was written to the log
 }
 
+// refused reports whether endpoints were refused lately in some zone.
+func (s *serviceScale) refused(reclaimable bool) bool {
+	for k := range s.dry {
+		if k.Reclaimable == reclaimable {
+			return true
+		}
+	}
+	return false
+}
+
+// had takes in that some are to be had: the other zones are asked again at once.
+func (s *serviceScale) had(reclaimable bool) {
+	maps.DeleteFunc(s.dry, func(k capacity.Kind, _ drySpell) bool { return k.Reclaimable == reclaimable })
+}
+
 type scaleOrdered struct {
 	count int
 	at    time.Time
--- a/request/backlog.go
+++ b/request/backlog.go
@@ -206,7 +206,8 @@
 // homeHit is how likely the first endpoints in a prompt's order are to keep its
 // shared parts although nothing is known of it here: all daemons have the same
 // order, and prefer the first. Where each knows what all have sent, it only makes
-// the endpoints less evenly used (0.44 of the worth for 0.49 on a quiet day of nine engines).
+// the endpoints less evenly used (0.44 of the worth for 0.49 on a quiet day of nine
+// engines).
 var homeHit = [...]float64{0.7, 0.3}
 
 // tieBreak spreads prompts over endpoints that are as good, in seconds.
