request, entry: solve the reading cost once a sample, count endpoints in one pass

Found when reading the whole change: each choice of an engine solved the fit three times for each engine; scaleWatch held one field since the reclaims it also held were taken out; live and serving went through the same list. No behaviour changed.

--- a/entry/scale.go
+++ b/entry/scale.go
@@ -53,15 +53,9 @@
 
 // scaleDuty orders endpoints.
 type scaleDuty struct {
-	d       *Daemon
-	state   map[string]*serviceScale
-	watched map[string]*scaleWatch
-}
-
-// scaleWatch is what every daemon follows of a service, so that a new holder
-// knows it.
-type scaleWatch struct {
-	demand capacity.Demand
+	d      *Daemon
+	state  map[string]*serviceScale
+	demand map[string]*capacity.Demand // by service, at every daemon, so that a new holder knows it
 }
 
 // drySpell is the time in which endpoints of a kind are refused.
@@ -101,7 +95,7 @@
 }
 
 func newScaleDuty(d *Daemon) scaleDuty {
-	return scaleDuty{d: d, state: make(map[string]*serviceScale), watched: make(map[string]*scaleWatch)}
+	return scaleDuty{d: d, state: make(map[string]*serviceScale), demand: make(map[string]*capacity.Demand)}
 }
 
 // begin starts a term: what an earlier holder has ordered is not known.
@@ -118,14 +112,14 @@
 		if b.Scaling == nil {
 			continue
 		}
-		w := x.watched[name]
+		w := x.demand[name]
 		if w == nil {
-			w = &scaleWatch{}
-			x.watched[name] = w
+			w = &capacity.Demand{}
+			x.demand[name] = w
 		}
 		pool := x.d.work(name).Pool
-		w.demand.Take(now, pool.Reading())
-		w.demand.Count(now, x.d.tallies.Running(now, pool.Service))
+		w.Take(now, pool.Reading())
+		w.Count(now, x.d.tallies.Running(now, pool.Service))
 	}
 }
 
@@ -154,12 +148,12 @@
 // early reports whether a service of a system that starts for the first time is
 // ordered before its endpoints can be counted.
 func (x *scaleDuty) early(service string) bool {
-	w := x.watched[service]
-	return x.d.without.On(mechanism.EarlyStart) && x.d.Site().First && w != nil && !w.demand.Seen
+	w := x.demand[service]
+	return x.d.without.On(mechanism.EarlyStart) && x.d.Site().First && w != nil && !w.Seen
 }
 
 func (x *scaleDuty) service(ctx context.Context, f platform.Fence, u *duties, b version.Backend) {
-	live := x.live(b.Name)
+	live, serving := x.count(time.Now(), b.Name)
 	s := x.state[b.Name]
 	if s == nil {
 		base, err := x.base(ctx, b.Name, live)
@@ -172,7 +166,7 @@
 	}
 	now := time.Now()
 	s.forgetLost(live)
-	for _, o := range x.plan(now, b, s, live) {
+	for _, o := range x.plan(now, b, s, live, serving) {
 		if !s.due(now, o, live[o.Kind]) {
 			continue
 		}
@@ -184,8 +178,8 @@
 }
 
 // plan returns the orders that a service should have now.
-func (x *scaleDuty) plan(now time.Time, b version.Backend, s *serviceScale, live map[capacity.Kind]int) []capacity.Order {
-	w := x.watched[b.Name]
+func (x *scaleDuty) plan(now time.Time, b version.Backend, s *serviceScale, live, serving map[capacity.Kind]int) []capacity.Order {
+	w := x.demand[b.Name]
 	if w == nil {
 		return nil
 	}
@@ -200,16 +194,16 @@
 	on := x.d.without.On
 	state := capacity.State{
 		Limits: capacity.Limits(*b.Scaling), Found: s.base,
-		Live: live, Serving: x.serving(now, b.Name), Coming: coming, Enough: -1,
-		Dry: s.refused(true), Idle: !w.demand.Seen && x.d.Site().First, Early: x.early(b.Name),
+		Live: live, Serving: serving, Coming: coming, Enough: -1,
+		Dry: s.refused(true), Idle: !w.Seen && x.d.Site().First, Early: x.early(b.Name),
 		NoPrice: !on(mechanism.SpareByPrice), NoHold: !on(mechanism.MakeBeforeBreak),
 	}
 	load := x.load(b, w)
-	if w.demand.Seen {
+	if w.Seen {
 		state.Enough = capacity.Enough(load)
 	}
 	plan := capacity.Plan(state)
-	if w.demand.Seen && on(mechanism.ScaleHold) {
+	if w.Seen && on(mechanism.ScaleHold) {
 		plan = s.hold.Settle(now, plan, have)
 	}
 	if text := fmt.Sprint(plan); text != s.planned {
@@ -223,11 +217,11 @@
 }
 
 // load returns what is asked of a service.
-func (x *scaleDuty) load(b version.Backend, w *scaleWatch) capacity.Load {
+func (x *scaleDuty) load(b version.Backend, w *capacity.Demand) capacity.Load {
 	pool := x.d.work(b.Name).Pool
-	l := capacity.Load{Busy: w.demand.Busy}
+	l := capacity.Load{Busy: w.Busy}
 	if slots := pool.Slots(); slots > 0 {
-		l.Places = w.demand.Running / slots
+		l.Places = w.Running / slots
 	}
 	l.Read, l.Spread = pool.ReadTimes()
 	if x.d.without.On(mechanism.BlindTime) {
@@ -242,22 +236,6 @@
 	return l
 }
 
-// serving counts the endpoints of a service that have answered, or are listed for
-// so long that they can.
-func (x *scaleDuty) serving(now time.Time, service string) map[capacity.Kind]int {
-	out := make(map[capacity.Kind]int)
-	pool := x.d.work(service).Pool
-	for _, r := range x.d.runners.all() {
-		if r.Service != service || r.Leaving {
-			continue
-		}
-		if t := pool.Get(r.ID); t != nil && (t.Answered() || x.d.runners.listedFor(now, r.ID) >= servingAfter) {
-			out[capacity.Kind{Zone: r.Zone, Reclaimable: r.Reclaimable}]++
-		}
-	}
-	return out
-}
-
 func sum(counts map[capacity.Kind]int) (n int) {
 	for _, c := range counts {
 		n += c
@@ -311,15 +289,22 @@
 	x.d.log.WithFields(fields).Info("ordered")
 }
 
-// live counts the endpoints of a service that take requests.
-func (x *scaleDuty) live(service string) map[capacity.Kind]int {
-	out := make(map[capacity.Kind]int)
+// count counts the endpoints of a service that take requests, and those of them
+// that serve: that have answered, or are listed for so long that they can.
+func (x *scaleDuty) count(now time.Time, service string) (live, serving map[capacity.Kind]int) {
+	live, serving = make(map[capacity.Kind]int), make(map[capacity.Kind]int)
+	pool := x.d.work(service).Pool
 	for _, r := range x.d.runners.all() {
-		if r.Service == service && !r.Leaving {
-			out[capacity.Kind{Zone: r.Zone, Reclaimable: r.Reclaimable}]++
+		if r.Service != service || r.Leaving {
+			continue
+		}
+		k := capacity.Kind{Zone: r.Zone, Reclaimable: r.Reclaimable}
+		live[k]++
+		if t := pool.Get(r.ID); t != nil && (t.Answered() || x.d.runners.listedFor(now, r.ID) >= servingAfter) {
+			serving[k]++
 		}
 	}
-	return out
+	return live, serving
 }
 
 // base returns by zone how many endpoints the service was found with: the first
--- a/request/readcost.go
+++ b/request/readcost.go
@@ -57,6 +57,8 @@
 	mean  float64       // seconds of those sent lately
 	sqr   float64       // and the mean of their squares
 	fit   fit
+	known coefficients // of fit, if fresh
+	fresh bool
 
 	event float64 // tokens of an event; 0 while not known
 }
@@ -89,16 +91,24 @@
 	return a[0]*(b[1]*c[2]-b[2]*c[1]) - b[0]*(a[1]*c[2]-a[2]*c[1]) + c[0]*(a[1]*b[2]-a[2]*b[1])
 }
 
-// coefficients returns the seconds of a start, a thousand tokens and a million
-// pairs; the caller holds the lock. The priors are samples of one kind each.
-func (c *ReadCost) coefficients() (start, token, pair float64) {
-	f := c.fit
-	priorStart := float64(priorStarts)
-	if c.NoStart {
-		f.n, f.t, f.p, f.s, priorStart = 0, 0, 0, 0, 1
+// coefficients are the seconds of a start, a thousand tokens and a million pairs.
+type coefficients struct{ start, token, pair float64 }
+
+// solved returns the coefficients of all samples; the caller holds the lock. They
+// are kept until the next sample, since each choice asks for them at each engine.
+func (c *ReadCost) solved() coefficients {
+	if !c.fresh {
+		c.known, c.fresh = c.solve(), true
 	}
+	return c.known
+}
+
+// solve fits the coefficients. The priors are samples of one kind each.
+func (c *ReadCost) solve() coefficients {
+	f, priorStart := c.fit, float64(priorStarts)
 	guess := [3]float64{readStart, readToken * 1e3, readPair}
 	if c.NoStart {
+		f.n, f.t, f.p, f.s, priorStart = 0, 0, 0, 0, 1
 		guess[0] = 0
 	}
 	ofStart := [3]float64{f.n + priorStart, f.t, f.p}
@@ -107,12 +117,13 @@
 	right := [3]float64{f.s + priorStart*guess[0], f.ts + priorTokens*guess[1], f.ps + priorPairs*guess[2]}
 	det := det3(ofStart, ofToken, ofPair)
 	if det <= 0 {
-		return guess[0], guess[1], guess[2]
+		return coefficients{guess[0], guess[1], guess[2]}
+	}
+	return coefficients{
+		start: math.Max(det3(right, ofToken, ofPair)/det, 0),
+		token: math.Max(det3(ofStart, right, ofPair)/det, guess[1]/20),
+		pair:  math.Max(det3(ofStart, ofToken, right)/det, 0),
 	}
-	start = det3(right, ofToken, ofPair) / det
-	token = det3(ofStart, right, ofPair) / det
-	pair = det3(ofStart, ofToken, right) / det
-	return math.Max(start, 0), math.Max(token, guess[1]/20), math.Max(pair, 0)
 }
 
 // pairsOf returns the millions of pairs that reading the last fresh tokens of a
@@ -125,16 +136,15 @@
 func (c *ReadCost) Time(fresh, total int) time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_, token, pair := c.coefficients()
-	return time.Duration((float64(fresh)/1e3*token + pairsOf(fresh, total)*pair) * float64(time.Second))
+	k := c.solved()
+	return time.Duration((float64(fresh)/1e3*k.token + pairsOf(fresh, total)*k.pair) * float64(time.Second))
 }
 
 // Start returns the part of the time to a first event that is not reading.
 func (c *ReadCost) Start() time.Duration {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	start, _, _ := c.coefficients()
-	return time.Duration(start * float64(time.Second))
+	return time.Duration(c.solved().start * float64(time.Second))
 }
 
 // Held returns the longest pause that reading the prompt causes to streams that
@@ -179,14 +189,15 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	start, token, pair := c.coefficients()
+	k := c.solved()
 	t, p := float64(fresh)/1e3, pairsOf(fresh, total)
-	expected := start + t*token + p*pair
+	expected := k.start + t*k.token + p*k.pair
 	s := took.Seconds()
 	if !c.NoStart {
 		s = math.Min(math.Max(s, expected/sampleTimes), expected*sampleTimes)
 	}
 	c.fit.add(t, p, s)
+	c.fresh = false
 }
 
 // Count adds to the time of reading that was ever sent to the engines.
