entry: tell how old the list of endpoints is and how long other daemons take to answer

Logs and metrics told the catalog's age alone; whether the list of endpoints was old, and whether answers between daemons were late, large or missing could not be told apart. No decision changed: ages are kept and shown, nothing looks at them.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -198,12 +198,14 @@
 func (d *Daemon) judgeReady(now time.Time) {
 	c := d.catalog.get()
 	age, known := d.catalog.fresh.Age(now)
+	listed, _ := d.runners.fresh.Age(now)
 	keys := c != nil && c.Keyed() && d.Site().Bounds.StrictRevocation
 	stale := keys && age > d.Site().Bounds.Revocation-freshMargin
 	ok := c != nil && known && d.runners.known() && !stale && !d.stopping.Load()
 	if d.ready.Swap(ok) != ok {
 		d.log.WithFields(logrus.Fields{
-			"part": "process", "ready": ok, "catalog": c != nil, "catalog_age_ms": age.Milliseconds(), "stopping": d.stopping.Load(),
+			"part": "process", "ready": ok, "catalog": c != nil, "catalog_age_ms": age.Milliseconds(),
+			"endpoints_age_ms": listed.Milliseconds(), "stopping": d.stopping.Load(),
 		}).Info("readiness changed")
 	}
 }
@@ -359,6 +361,8 @@
 		"requests.refused": c.Refused.Load, "requests.unknown": c.Unknown.Load, "attempts.retries": c.Retries.Load,
 		"links.sent_bytes": func() int64 { return d.Hub.Traffic().SentBytes },
 		"members":          func() int64 { return int64(len(d.Hub.Mesh.Members())) },
+		"catalog.age_ms":   d.catalog.fresh.gauge,
+		"endpoints.age_ms": d.runners.fresh.gauge,
 		"catalog.version": func() int64 {
 			if c := d.catalog.get(); c != nil {
 				return c.Version
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -7,8 +7,8 @@
 	"time"
 )
 
-// Freshness is the latest moment at which the catalog in force here is known to
-// have been the newest. No clocks of boxes are compared: a moment is taken from
+// Freshness is the latest moment at which what a daemon holds of a table of the
+// store, the catalog or the list of endpoints, is known to have been the newest. No clocks of boxes are compared: a moment is taken from
 // this process's monotonic clock alone. A delayed answer can only make it older.
 type Freshness struct {
 	mu     sync.Mutex
@@ -41,7 +41,7 @@
 	f.raise(made)
 }
 
-// Peer takes in that another daemon, asked at sent, answered that its catalog,
+// Peer takes in that another daemon, asked at sent, answered that its state,
 // which is no newer than ours, was the newest so long before its answer.
 func (f *Freshness) Peer(sent time.Time, age time.Duration) {
 	f.mu.Lock()
@@ -55,10 +55,18 @@
 	}
 }
 
-// Age returns how long ago the catalog is known to have been the newest; ok is
+// Age returns how long ago the state is known to have been the newest; ok is
 // false if it never was.
 func (f *Freshness) Age(now time.Time) (age time.Duration, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return now.Sub(f.at), !f.at.IsZero()
 }
+
+// gauge returns the age in milliseconds, or less than 0 if there is none.
+func (f *Freshness) gauge() int64 {
+	if age, ok := f.Age(time.Now()); ok {
+		return age.Milliseconds()
+	}
+	return -1
+}
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -254,6 +254,8 @@
 		fields["team"] = o.tenant.Name
 	}
 	if c := s.d.catalog.get(); c != nil {
+		age, _ := s.d.catalog.fresh.Age(time.Now())
+		fields["catalog_age_ms"] = age.Milliseconds()
 		fields["version"] = c.Version
 	}
 	s.d.log.WithFields(fields).Infof("answered with an error: %s", err.Message)
--- a/entry/meters.go
+++ b/entry/meters.go
@@ -19,6 +19,7 @@
 	failed   metrics.Counter   // endpoints' own failures passed on
 	whole    metrics.Histogram // whole answers, milliseconds from arrival to end
 	first    metrics.Histogram // milliseconds from an attempt's sending to its first event
+	asked    metrics.Histogram // milliseconds until another daemon's answer
 	off      metrics.Histogram // by how many milliseconds that was later than the model of the engines had it
 }
 
@@ -33,6 +34,7 @@
 	m.whole = m.histogram("answers.whole_ms")
 	m.first = m.histogram("answers.first_ms")
 	m.off = m.histogram("answers.first_off_ms")
+	m.asked = m.histogram("peers.answer_ms")
 	return m
 }
 
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -24,6 +24,8 @@
 	peerAge = 2 * time.Second
 	// peerLimit is how long an answer may take.
 	peerLimit = 700 * time.Millisecond
+	// slowAnswer is from when on an answer is told of in the log: half of peerLimit.
+	slowAnswer = peerLimit / 2
 )
 
 // askFresh is the question between daemons for what the store holds.
@@ -45,6 +47,7 @@
 	Catalog int64         `codec:"c"`
 	Value   []byte        `codec:"v,omitempty"` // the catalog, if newer
 	Runners int64         `codec:"r"`
+	Listed  time.Duration `codec:"l"`           // age of the answerer's list of endpoints
 	Entries []entryRow    `codec:"e,omitempty"` // the endpoints that have changed since the asker's version
 	Whole   bool          `codec:"h,omitempty"` // they are all endpoints
 
@@ -128,6 +131,7 @@
 	}
 	sent := time.Now()
 	b, err := d.Hub.Ask(ctx, name, askFresh, conn.Marshal(q))
+	d.logAnswer(name, time.Since(sent), len(b), err)
 	if err != nil {
 		return ReaderSilent // the next round asks again, or another
 	}
@@ -152,6 +156,17 @@
 	return ReaderWell
 }
 
+// logAnswer tells of an answer of another daemon that failed or came late.
+func (d *Daemon) logAnswer(name string, took time.Duration, size int, err error) {
+	d.meters.asked.Update(took.Milliseconds())
+	if err == nil && took < slowAnswer {
+		return
+	}
+	d.log.WithFields(logrus.Fields{
+		"part": "peers", "peer": name, "took_ms": took.Milliseconds(), "bytes": size, "error": err,
+	}).Info("another daemon's answer is late or missing")
+}
+
 func (d *Daemon) takeFresh(sent time.Time, name string, a freshAnswer) {
 	if len(a.Value) > 0 {
 		if err := d.catalog.adopt(a.Value, name); err != nil {
@@ -166,6 +181,9 @@
 		}
 		d.runners.take(time.Now(), a.Runners, rows, a.Whole)
 	}
+	if d.runners.current() >= a.Runners {
+		d.runners.fresh.Peer(sent, a.Listed)
+	}
 	if c := d.catalog.get(); c != nil && c.Version >= a.Catalog {
 		d.catalog.fresh.Peer(sent, a.Age)
 	}
@@ -182,12 +200,14 @@
 		d.takeTallies(time.Now(), q.Tally.Daemon, []conn.Tally{*q.Tally})
 		a.Source, a.Flow = instanceOf(d.Self), d.tallies.Flow(q.Tally.Daemon)
 	}
-	age, ok := d.catalog.fresh.Age(time.Now()) // before the state is read, so that it is not newer than that
+	now := time.Now()
+	age, ok := d.catalog.fresh.Age(now) // before the state is read, so that it is not newer than that
+	listed, _ := d.runners.fresh.Age(now)
 	f := d.catalog.cur.Load()
 	if f == nil || !ok || !d.runners.known() {
 		return conn.Marshal(a), nil
 	}
-	a.Known, a.Failing, a.Age, a.Catalog = true, d.feedsDown.Load() > 0, age, f.catalog.Version
+	a.Known, a.Failing, a.Age, a.Listed, a.Catalog = true, d.feedsDown.Load() > 0, age, listed, f.catalog.Version
 	if a.Catalog > q.Catalog {
 		a.Value = f.value
 	}
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -27,7 +27,8 @@
 
 // runnerKeeper keeps the pools in line with the endpoints' entries in the store.
 type runnerKeeper struct {
-	d *Daemon
+	d     *Daemon
+	fresh Freshness // of the list
 
 	mu       sync.Mutex
 	version  int64 // of the store, up to which the list is complete
@@ -56,9 +57,10 @@
 // follow keeps up with the store until ctx ends.
 func (k *runnerKeeper) follow(ctx context.Context) {
 	f := feeder{d: k.d, table: platform.RunnerTable, wait: func() time.Duration { return runnerWait }, name: "endpoints"}
-	f.run(ctx, k.current, func(now, _ time.Time, p platform.Page, whole bool) error {
+	f.run(ctx, k.current, func(now, sent time.Time, p platform.Page, whole bool) error {
 		k.storeBack(now)
 		k.take(now, p.Version, p.Rows, whole)
+		k.fresh.Store(sent, now, p.Clock)
 		return nil
 	})
 }
