entry: failing tests for a large configuration, an old one and an old list of endpoints

The stand-ins get a link of a box's own, with a rate and a cut, and a store that answers one caller nothing about one table.

--- /dev/null
+++ b/entry/age_test.go
@@ -0,0 +1,134 @@
+// SPDX-License-Identifier: MIT
+
+package entry_test
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"streambend.example/internal/standin"
+	"streambend.example/platform"
+)
+
+// What users saw: 4 s after a change of the configuration had been confirmed,
+// requests still went to the service that it had replaced, and others were refused.
+//
+// The order of events: the operator added 1,400 routes, the third time that day, and
+// the configuration grew to 780 KB; the readers had it at once; each weak box was
+// sent the whole of it, gave up after 0.7 s and asked again, two daemons at a time.
+//
+// The cause: what did not arrive within the time limit was thrown away, so that the
+// links were full of answers that nobody waited for. The evidence: for ten seconds
+// the readers sent 13 to 22 MB/s and weak boxes took in 1.0 to 1.4 MB/s, all that
+// their links hold, while 0.8 MB were enough; logs of the weak boxes name the store
+// lost by a passed time limit.
+func TestALargeConfigurationIsInForceInTime(t *testing.T) {
+	atSize(t, func(w *world) {
+		old, now := w.runner(plain, "a", "i-old", 0), w.runner("other", "a", "i-new", 0)
+		time.Sleep(3 * time.Second)
+		w.bulk = bulk(5000) // 0.95 MB: 0.76 s of a weak link
+		w.routes[2]["service"] = "other"
+		w.put()
+		time.Sleep(500 * time.Millisecond)
+		w.put() // a change of nothing that matters
+		time.Sleep(2 * time.Second)
+		for i := range w.daemons {
+			assert.Equal(t, http.StatusOK, w.ask(i, http.MethodPost, "/write/", fmt.Sprint("id-", i)).status, "daemon %d", i)
+		}
+		assert.Zero(t, len(old.Ran()), "its service was replaced 2.5 s ago")
+		assert.Equal(t, len(w.daemons), len(now.Ran()))
+	})
+}
+
+// What users saw and the order of events: as above, at two boxes whose routes need
+// no key.
+//
+// The cause: that a change is in force in time rested on its arriving quickly. Only
+// keys were refused by the age of the configuration, from 4.75 s on. The evidence:
+// the same daemons refused requests with keys for the age of their configuration
+// and served one without.
+func TestAnOldConfigurationServesNobody(t *testing.T) {
+	inWorldOf(t, 3, linked, func(w *world) {
+		old := w.runner(plain, "a", "i-old", 0)
+		w.routes[2]["public"] = true
+		w.put()
+		time.Sleep(time.Second)
+		w.links["daemon-0"].Cut(peerPort, storeAddress)
+		w.routes[2]["service"] = "other"
+		w.put()
+		time.Sleep(bound + 100*time.Millisecond)
+		for n := range 20 {
+			a := w.ask(0, http.MethodPost, "/write/", fmt.Sprint("id-", n))
+			assert.Equal(t, http.StatusServiceUnavailable, a.status)
+			assert.NotEmpty(t, a.header.Get("Retry-After"))
+			assert.False(t, w.ready(0), "others can serve")
+			time.Sleep(200 * time.Millisecond)
+		}
+		assert.Zero(t, len(old.Ran()))
+	})
+}
+
+// What users saw: a request was sent to an endpoint 4 s after it had said that it
+// leaves.
+//
+// The order of events: while the links were full, as above, a daemon became unready
+// for the age of its configuration, got that at last and was ready again; what it
+// knew of the endpoints was older.
+//
+// The cause: the list of endpoints had no age. A fresh configuration stood for it,
+// and was also what kept the daemon from reading the list itself. The evidence: the
+// request was sent 1.2 s after that daemon was ready again, and others of its zone
+// had the endpoint's word by then.
+func TestAnOldListOfEndpointsIsNotUsed(t *testing.T) {
+	inWorldOf(t, 3, linked, func(w *world) {
+		leaves := w.runner(plain, "a", "i-leaves", 0)
+		time.Sleep(time.Second)
+		w.links["daemon-0"].Cut(peerPort)
+		w.store.SetFault(standin.RowsFault{Mute: platform.RunnerTable, Muted: "daemon-0"})
+		w.store.Put(platform.RunnerTable, "", "i-leaves", leaves.Entry(plain, "a", "draining"))
+		time.Sleep(bound)
+		for n := range 20 {
+			assert.Equal(t, http.StatusServiceUnavailable, w.ask(0, http.MethodPost, "/write/", fmt.Sprint("id-", n)).status)
+			assert.False(t, w.ready(0), "others can serve")
+			time.Sleep(200 * time.Millisecond)
+		}
+		assert.Zero(t, len(leaves.Ran()))
+	})
+}
+
+const (
+	// bound is that of a world's configuration, and of what leaves.
+	bound = 2 * time.Second
+	// peerPort is what the addresses of daemons end with, for each other.
+	peerPort = ":82"
+)
+
+// linked gives each box a link of its own.
+func linked(w *world) { w.links = make(map[string]*standin.Link) }
+
+// atSize is a deployment of many boxes, most of them weak.
+func atSize(t *testing.T, f func(w *world)) {
+	t.Helper()
+	inWorldOf(t, 24, func(w *world) {
+		linked(w)
+		w.zones = []string{"a", "b", "c", "d"}
+		w.strong = len(w.zones)
+	}, f)
+}
+
+// bulk returns routes that nobody asks for, 190 bytes each.
+func bulk(n int) []map[string]any {
+	var out []map[string]any
+	for i := range n {
+		name := fmt.Sprintf("%08x", uint32(i)*2654435761)
+		out = append(out, map[string]any{
+			"name": "r-" + name, "host": host, "path_prefix": "/" + name + "/", "kind": "unsafe", "timeout_ms": 8000, "attempts": 1,
+			"target_latency_ms": 600, "priority": 1, "service": plain, "target_gap_ms": 500,
+		})
+	}
+	return out
+}
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -20,6 +21,7 @@
 	"streambend.example/entry"
 	"streambend.example/internal/standin"
 	"streambend.example/platform"
+	"streambend.example/seam"
 )
 
 // world is some daemons among stand-ins of the users' platform, over a network
@@ -37,7 +39,10 @@
 	routes  []map[string]any
 	keys    []string
 	rate    float64
-	zones   []string // of the daemons, in turn
+	zones   []string                 // of the daemons, in turn
+	strong  int                      // so many daemons have more processor time than the others; 0 for all alike
+	links   map[string]*standin.Link // of the daemons' boxes; nil for a network without limits
+	bulk    []map[string]any         // routes that nobody asks for
 }
 
 // The service names, hosts and keys of a world.
@@ -59,10 +64,16 @@
 
 // inZones is inWorld with the daemons in some zones.
 func inZones(t *testing.T, daemons int, zones []string, f func(w *world)) {
+	t.Helper()
+	inWorldOf(t, daemons, func(w *world) { w.zones = zones }, f)
+}
+
+// inWorldOf is inWorld with a world that was changed before its daemons start.
+func inWorldOf(t *testing.T, daemons int, change, f func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
-		w.zones = zones
+		change(w)
 		w.put()
 		for range daemons {
 			w.start()
@@ -106,7 +117,7 @@
 func (w *world) put() {
 	w.version += 3
 	b, err := json.Marshal(map[string]any{
-		"version": w.version, "routes": w.routes,
+		"version": w.version, "routes": append(slices.Clone(w.routes), w.bulk...),
 		"services": []map[string]any{
 			{"name": engines, "health_path": "/health", "connection_limit": 100, "engine": map[string]any{"slots": 8, "kv_cache_tokens": 500000},
 				"scaling": map[string]any{"minimum": 1, "maximum": 6, "startup_s": 4, "spot_price": 0.2, "zone_prices": map[string]any{"a": 1.0, "b": 0.8}}},
@@ -131,27 +142,58 @@
 func (w *world) startNamed(name string, i int) *entry.Daemon {
 	settings := fmt.Sprintf(`{"node_name": %q, "zone": %q, "ip_address": "10.0.0.%d",
 		"listen_addresses": {"frontend": "10.0.0.%d:80", "ready": "10.0.0.%d:81", "control_plane": "10.0.0.%d:82"},
-		"limits": {"cpu_share": 0.4, "memory_mb": 284},
+		"limits": {"cpu_share": %g, "memory_mb": 284},
 		"bounds": {"drain_ms": 2000, "grace_period_s": 8, "configuration_ms": 2000, "revocation_ms": 5000, "strict_revocation": true,
 			"retry_budget_ratio": 0.2, "budget_window_s": 10, "retry_budget_slack": 56, "quota_window_s": 8, "lease_ms": 3000,
 			"usage_window_s": 5, "usage_lateness_s": 10},
 		"platform": {"address": %q}, "cloud_api": {"address": %q, "duties": ["usage_reporting", "scaling"], "duty_per_s": 50}}`,
-		name, w.zones[i%len(w.zones)], i, i, i, i, w.store.Address(), w.api.Address())
+		name, w.zones[i%len(w.zones)], i, i, i, i, w.share(i), w.store.Address(), w.api.Address())
 	site, err := platform.ReadSite(strings.NewReader(settings))
 	require.NoError(w.t, err)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(w.t.Context())
 	w.cut = append(w.cut, cancel)
-	d, err := entry.New(site, named{w.net, ctx, name}, log, 0)
+	n := seam.Network(w.net)
+	if w.links != nil {
+		w.links[name] = standin.NewLink(w.rateOf(i))
+		n = w.links[name].Over(n)
+	}
+	d, err := entry.New(site, named{n, ctx, name}, log, 0)
 	require.NoError(w.t, err)
 	return d
 }
 
+// The boxes of a large deployment: a few strong ones, of which one a zone reads the
+// store for the others, and weak ones.
+const (
+	strongShare, weakShare = 0.8, 0.2     // of a core
+	strongRate, weakRate   = 25e6, 1.25e6 // bytes a second
+)
+
+// share returns the processor time of a daemon's box.
+func (w *world) share(i int) float64 {
+	switch {
+	case w.strong == 0:
+		return 0.4
+	case i < w.strong:
+		return strongShare
+	}
+	return weakShare
+}
+
+// rateOf returns the rate of a box's link.
+func (w *world) rateOf(i int) float64 {
+	if i < w.strong {
+		return strongRate
+	}
+	return weakRate
+}
+
 // named is a daemon's view of the network, which says in each call to the store
 // whose it is.
 type named struct {
-	*standin.Net
+	seam.Network
 	ctx  context.Context
 	name string
 }
@@ -247,7 +289,7 @@
 	if n.ctx.Err() != nil {
 		return nil, n.ctx.Err()
 	}
-	c, err := n.Net.Dial(ctx, network, address)
+	c, err := n.Network.Dial(ctx, network, address)
 	if err != nil || address != storeAddress {
 		return c, err
 	}
--- /dev/null
+++ b/internal/standin/link.go
@@ -0,0 +1,168 @@
+// SPDX-License-Identifier: MIT
+
+package standin
+
+import (
+	"context"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"streambend.example/seam"
+)
+
+// linkPiece is how much passes a link at a time, so that connections share it.
+const linkPiece = 4096
+
+// linkPatience is how long a connection over a cut link is tried.
+const linkPatience = 400 * time.Millisecond
+
+// Link is a box's own link to a network: what the box sends passes it at a rate,
+// piece after piece of all its connections in turn, and so does what it takes in.
+type Link struct {
+	out, in lane
+
+	mu  sync.Mutex
+	cut []string
+}
+
+// NewLink returns a link of some bytes a second each way.
+func NewLink(rate float64) *Link { return &Link{out: lane{rate: rate}, in: lane{rate: rate}} }
+
+// Cut silences the connections to and from addresses with these endings, those
+// that are open too: they stay open, and nothing more comes over them.
+func (l *Link) Cut(endings ...string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = append(l.cut, endings...)
+}
+
+func (l *Link) silent(address string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.cut {
+		if strings.HasSuffix(address, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// Over returns the network as the box behind the link has it.
+func (l *Link) Over(n seam.Network) seam.Network { return linked{n, l} }
+
+// lane is one way of a link.
+type lane struct {
+	rate float64
+
+	mu   sync.Mutex
+	free time.Time // when what was let in so far will have passed
+}
+
+// pass waits until so many bytes have passed or their connection is closed.
+func (l *lane) pass(n int, closed chan struct{}) {
+	l.mu.Lock()
+	now := time.Now()
+	if l.free.Before(now) {
+		l.free = now
+	}
+	l.free = l.free.Add(time.Duration(float64(n) / l.rate * float64(time.Second)))
+	wait := l.free.Sub(now)
+	l.mu.Unlock()
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-closed:
+	}
+}
+
+type linked struct {
+	seam.Network
+	link *Link
+}
+
+// Listen implements seam.Network.
+func (n linked) Listen(address string) (net.Listener, error) {
+	l, err := n.Network.Listen(address)
+	return linkedListener{l, n.link, address}, err
+}
+
+// Dial implements seam.Network.
+func (n linked) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if n.link.silent(address) {
+		ctx, cancel := context.WithTimeout(ctx, linkPatience)
+		defer cancel()
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	c, err := n.Network.Dial(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return newLinkedConn(c, n.link, address), nil
+}
+
+type linkedListener struct {
+	net.Listener
+	link    *Link
+	address string
+}
+
+// Accept implements net.Listener.
+func (l linkedListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return newLinkedConn(c, l.link, l.address), nil
+}
+
+type linkedConn struct {
+	net.Conn
+	link    *Link
+	address string
+	closed  chan struct{}
+	once    *sync.Once
+}
+
+func newLinkedConn(c net.Conn, l *Link, address string) linkedConn {
+	return linkedConn{c, l, address, make(chan struct{}), new(sync.Once)}
+}
+
+// Close implements net.Conn.
+func (c linkedConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// Write implements net.Conn.
+func (c linkedConn) Write(b []byte) (int, error) {
+	done := 0
+	for done < len(b) {
+		piece := b[done:min(done+linkPiece, len(b))]
+		c.link.out.pass(len(piece), c.closed)
+		if c.link.silent(c.address) {
+			<-c.closed
+			return done, net.ErrClosed
+		}
+		n, err := c.Conn.Write(piece)
+		done += n
+		if err != nil {
+			return done, err
+		}
+	}
+	return done, nil
+}
+
+// Read implements net.Conn.
+func (c linkedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b[:min(linkPiece, len(b))])
+	if c.link.silent(c.address) {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	c.link.in.pass(n, c.closed)
+	return n, err
+}
