--- a/internal/standin/rows.go
+++ b/internal/standin/rows.go
@@ -217,10 +217,11 @@
 	after, _ := strconv.ParseInt(q.Get("after_revision"), 10, 64) // the adapter always sends a number
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
 	over := time.After(time.Duration(wait) * time.Millisecond)
+	last := false // the wait is over
 	for {
 		s.mu.Lock()
 		wake := s.wake
-		gone, away := after < s.forgot, s.turnsAway(r)
+		gone, away, silent := after < s.forgot, s.turnsAway(r), s.fault.Silent
 		rows := s.changes(q.Get("table"), after)
 		p := s.page(rows)
 		s.mu.Unlock()
@@ -230,13 +231,17 @@
 		if gone {
 			return http.StatusGone, nil
 		}
-		if len(rows) > 0 {
+		if silent {
+			<-r.Context().Done()
+			return http.StatusOK, p
+		}
+		if last || len(rows) > 0 {
 			return http.StatusOK, p
 		}
 		select {
 		case <-wake:
 		case <-over:
-			return http.StatusOK, p
+			last = true // the answer is as of now
 		case <-r.Context().Done():
 			return http.StatusOK, p
 		}
