entry, request: keep the bounds of the catalog and of the list of endpoints at each use

Cause: that a change is in force in time, and that a leaving endpoint gets nothing new, rested on news arriving quickly. A daemon that they did not reach went on by what it had: only keys were refused by the catalog's age, from 4.75 s on; the list of endpoints had no age that anything looked at, and a fresh catalog kept a daemon from reading it.

Change: the list has a horizon of its own, by the store's word and by other daemons'. A request is admitted by a catalog, and an endpoint chosen by a list, that is within its bound; a choice holds until then for opening the connection as well. The age is taken before what it is the age of. Past its bound something is used only while the store fails everybody: the daemons asked, three at the most, say so or are silent, and one at least says so. Own failed calls prove nothing, as a full link fails them too; for the same reason entries that go are held as lapsed only if the store has failed another daemon as well. What comes close to its bound is asked for by every way, of the store without waiting, and of others from a place of one's own in their order. The endpoints' feed waits for 0.35 of their bound instead of 1.5 s.

--- a/conn/forward.go
+++ b/conn/forward.go
@@ -26,6 +26,8 @@
 	Header  http.Header
 	Body    []byte
 	Fresh   bool // over a connection of its own, since it may run only once
+
+	Connected func() // is told once there is a connection, before a byte is sent; nil for nobody
 }
 
 // once reads a body that net/http must not send a second time by itself: a
@@ -38,7 +40,12 @@
 // Failure that tells whether the request can have reached the endpoint.
 func (c *Client) Forward(ctx context.Context, p Passed) (*http.Response, error) {
 	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { sent.Store(true) }}
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+		sent.Store(true)
+		if p.Connected != nil {
+			p.Connected()
+		}
+	}}
 	req := &http.Request{
 		Method: p.Method, URL: targetURL(p.Address, p.Target), Host: p.Host, Header: p.Header,
 		Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
--- a/entry/age_test.go
+++ b/entry/age_test.go
@@ -100,6 +100,23 @@
 	})
 }
 
+// Between the choice of an endpoint and the first byte that goes there lies the
+// opening of a connection, which takes long over a full link.
+func TestAChoiceThatBecomesOldOnTheWayIsNotSent(t *testing.T) {
+	inWorld(t, 1, func(w *world) {
+		r := w.runner(plain, "a", "i-1", 0)
+		w.connect.Store(int64(bound))
+		began := time.Now()
+		a := w.ask(0, http.MethodPost, "/write/", "id-1")
+		assert.Equal(t, http.StatusServiceUnavailable, a.status, "it has not run")
+		assert.Less(t, time.Since(began), bound)
+		time.Sleep(2 * bound)
+		assert.Zero(t, len(r.Ran()))
+		w.connect.Store(0)
+		assert.Equal(t, http.StatusOK, w.ask(0, http.MethodPost, "/write/", "id-2").status, "the endpoint is not to blame")
+	})
+}
+
 const (
 	// bound is that of a world's configuration, and of what leaves.
 	bound = 2 * time.Second
--- a/entry/catalog.go
+++ b/entry/catalog.go
@@ -91,6 +91,9 @@
 
 // wait is how long the store holds the question for changes.
 func (k *catalogKeeper) wait() time.Duration {
+	if age, ok := k.fresh.Age(time.Now()); ok && late(age, k.d.Site().Bounds.Configuration) {
+		return 0 // what counts is to know that the catalog is still the newest
+	}
 	if k.d.Site().Bounds.StrictRevocation || !k.d.without.On(mechanism.PatientFeed) {
 		return catalogWait
 	}
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -78,6 +78,7 @@
 	cutOff     atomic.Bool  // no other daemon is heard
 	counted    atomic.Bool  // the daemons' rows in the store were read
 	readerTurn ReaderTurn
+	outage     Outage
 	asked      int // rounds of questions to daemons that are no readers; of one goroutine
 
 	ctx    context.Context
@@ -129,6 +130,7 @@
 	o.Grace = 0 // the caller is gone at its deadline
 	o.NoLimit = true
 	o.RouteWait = comeBack
+	o.Listed = d.listed
 	o.Without = d.without
 	o.Homes = d.many
 	if d.without.On(mechanism.SentWords) {
@@ -201,7 +203,9 @@
 	listed, _ := d.runners.fresh.Age(now)
 	keys := c != nil && c.Keyed() && d.Site().Bounds.StrictRevocation
 	stale := keys && age > d.Site().Bounds.Revocation-freshMargin
-	ok := c != nil && known && d.runners.known() && !stale && !d.stopping.Load()
+	stale = stale || !d.current(now, age, d.Site().Bounds.Configuration)
+	_, reach := d.listed(now)
+	ok := c != nil && known && d.runners.known() && !stale && reach && !d.stopping.Load()
 	if d.ready.Swap(ok) != ok {
 		d.log.WithFields(logrus.Fields{
 			"part": "process", "ready": ok, "catalog": c != nil, "catalog_age_ms": age.Milliseconds(),
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -22,6 +22,10 @@
 	// freshMargin is kept from the bound on revoked keys for the way of a
 	// request from the check to its endpoint.
 	freshMargin = 250 * time.Millisecond
+	// sendMargin is kept from the bound on leaving endpoints for the way of a
+	// request's bytes once there is a connection: 1 to 3 ms within a deployment, and
+	// up to 200 ms in the queue of a box's own link.
+	sendMargin = 300 * time.Millisecond
 	// staleRoute is the age of the catalog from which a missing route may just
 	// be one that is not known here yet.
 	staleRoute = 1500 * time.Millisecond
@@ -90,12 +94,15 @@
 
 // accept checks a request and makes it ready to run.
 func (s *ingress) accept(now time.Time, w http.ResponseWriter, r *http.Request, o *order) *code.Error {
+	age, _ := s.d.catalog.fresh.Age(now) // before the catalog is read, so that it is not of a newer one
 	c := s.d.catalog.get()
 	if c == nil {
 		return code.New(code.Isolated, "no configuration is known here yet").After(comeBack)
 	}
+	if !s.d.current(now, age, s.d.Site().Bounds.Configuration) {
+		return code.New(code.Isolated, "the configuration is %s old, and there may be a newer one", age.Round(time.Millisecond)).After(comeBack)
+	}
 	path, _, _ := strings.Cut(target(r), "?")
-	age, _ := s.d.catalog.fresh.Age(now)
 	if o.route = c.Match(r.Host, path); o.route == nil {
 		if age > staleRoute {
 			return code.New(code.Isolated, "no such route here, but the configuration is %s old", age.Round(time.Millisecond)).After(comeBack)
--- a/entry/outage_test.go
+++ b/entry/outage_test.go
@@ -153,3 +153,46 @@
 		}
 	})
 }
+
+// An outage is what all daemons know of, each by others' word, before what they hold
+// is too old to be used.
+func TestAnOutageOfTheStoreIsRiddenOutByAll(t *testing.T) {
+	for name, fault := range map[string]standin.RowsFault{"silent": {Silent: true}, "busy": {Busy: true}} {
+		for _, daemons := range []int{3, 8, 24} {
+			t.Run(fmt.Sprint(name, " ", daemons), func(t *testing.T) {
+				inZones(t, daemons, []string{"a", "b", "c", "d"}, func(w *world) {
+					w.runner(plain, "a", "i-1", 0)
+					time.Sleep(3 * time.Second)
+					w.store.SetFault(fault)
+					began := time.Now()
+					for n := 0; time.Since(began) < 4*time.Second; n++ {
+						i := n % daemons // 20 ms each
+						assert.Equal(t, http.StatusOK, w.ask(i, http.MethodPost, "/write/", fmt.Sprint("id-", n)).status, "daemon %d after %s", i, time.Since(began))
+					}
+					w.store.SetFault(standin.RowsFault{})
+				})
+			})
+		}
+	}
+}
+
+func TestAnOutageIsCertainByOthersWord(t *testing.T) {
+	const bound = 2 * time.Second
+	asked := []string{"a", "b"}
+	now := time.Now()
+	var o entry.Outage
+	assert.False(t, o.Certain(now, asked, bound), "nobody has been heard")
+	o.Hear(now, "a", entry.ReaderFailing, now.Add(-bound))
+	assert.False(t, o.Certain(now, asked, bound), "one has not been heard")
+	o.Hear(now, "b", entry.ReaderWell, now.Add(-time.Second))
+	assert.False(t, o.Certain(now, asked, bound), "one is served")
+	assert.True(t, o.Certain(now.Add(1100*time.Millisecond), asked, bound), "what it holds is as old as all else by now")
+	o.Hear(now, "b", entry.ReaderSilent, time.Time{})
+	assert.True(t, o.Certain(now, asked, bound))
+	o.Hear(now, "a", entry.ReaderSilent, time.Time{})
+	assert.False(t, o.Certain(now, asked, bound), "silence may be this daemon's own link")
+	o.Hear(now, "a", entry.ReaderFailing, time.Time{})
+	assert.False(t, o.Certain(now.Add(2*time.Second), asked, bound), "words are believed for 1.35 s")
+	assert.True(t, o.Shared(now.Add(3*time.Second)))
+	assert.False(t, o.Shared(now.Add(4*time.Second)))
+}
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -18,9 +18,10 @@
 	// and a reader answers some twenty. Both leave a daemon far below peerAge.
 	peerPause = 300 * time.Millisecond
 	manyPause = 450 * time.Millisecond
-	// peerAge is the age of the catalog from which a daemon reads the store
-	// itself although others should do so for it. What comes through a reader is
-	// a second old at the most, and a weak box may be late to ask.
+	// peerAge is the age of the catalog or of the list of endpoints from which a
+	// daemon reads the store itself, at the latest, although others should do so for
+	// it. What comes through a reader is a second and a half old at the most, and a
+	// weak box may be late to ask.
 	peerAge = 2 * time.Second
 	// peerLimit is how long an answer may take.
 	peerLimit = 700 * time.Millisecond
@@ -64,10 +65,7 @@
 // readsStore reports whether this daemon reads the store itself: it is its
 // zone's reader, all readers fail, or what it hears from others is too old.
 func (d *Daemon) readsStore(now time.Time) bool {
-	if age, ok := d.catalog.fresh.Age(now); !ok || age > peerAge || !d.runners.known() {
-		return true
-	}
-	return d.isReader() || d.readerTurn.Failed() >= len(d.readers())
+	return d.behind(now) || d.isReader() || d.readerTurn.Failed() >= len(d.readers())
 }
 
 // readers returns the readers that this daemon asks.
@@ -83,25 +81,46 @@
 
 // askPeers asks a reader, unless this daemon reads the store with success.
 func (d *Daemon) askPeers(ctx context.Context, now time.Time) {
-	age, ok := d.catalog.fresh.Age(now)
-	old := !ok || age >= peerAge
+	old := d.behind(now)
 	if d.isReader() && !old {
+		if d.feedsDown.Load() > 0 {
+			d.askWitnesses(ctx, "")
+		}
 		return
 	}
 	if readers := d.readers(); len(readers) > 0 {
 		at := d.readerTurn.Next(len(readers))
-		d.run(func() { d.hearReader(at, readers[at], d.askPeer(ctx, readers[at])) })
+		d.run(func() {
+			w := d.askPeer(ctx, readers[at])
+			d.hearReader(at, readers[at], w)
+			if w != ReaderWell {
+				d.askWitnesses(ctx, readers[at])
+			}
+		})
+	} else {
+		d.askWitnesses(ctx, "")
 	}
 	others := d.others()
 	if !old || len(others) == 0 {
 		return
 	}
-	// Each in turn: whoever is cut off may be so with its zone.
+	// Each in turn, as whoever is cut off may be so with its zone; from a place of
+	// one's own, or all that are behind ask the same daemon at once.
 	d.asked++
-	m := others[d.asked%len(others)]
+	m := others[(d.asked+int(daemonNumber(d.Self.Name)%uint32(len(others))))%len(others)]
 	d.run(func() { d.askPeer(ctx, m.Name) })
 }
 
+// askWitnesses asks at once those that can say whether the store fails everybody,
+// but for one that has just been asked.
+func (d *Daemon) askWitnesses(ctx context.Context, but string) {
+	for _, name := range d.witnesses() {
+		if name != but {
+			d.run(func() { d.askPeer(ctx, name) })
+		}
+	}
+}
+
 // hearReader takes in the word of a reader. That the store fails readers says
 // nothing of what has lapsed there, as just they may be cut off; once all fail,
 // this daemon reads for itself and sees. That one does well ends an outage which
@@ -119,6 +138,14 @@
 
 // askPeer asks one daemon, and returns what it says of its reading.
 func (d *Daemon) askPeer(ctx context.Context, name string) ReaderWord {
+	w, horizon := d.hearPeer(ctx, name)
+	d.outage.Hear(time.Now(), name, w, horizon)
+	return w
+}
+
+// hearPeer asks one daemon and takes its answer in. It returns what that daemon says
+// of its reading, and when what it holds is known to have been the newest.
+func (d *Daemon) hearPeer(ctx context.Context, name string) (w ReaderWord, horizon time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, peerLimit)
 	defer cancel()
 	q := freshQuestion{Runners: d.runners.current()}
@@ -133,12 +160,12 @@
 	b, err := d.Hub.Ask(ctx, name, askFresh, conn.Marshal(q))
 	d.logAnswer(name, time.Since(sent), len(b), err)
 	if err != nil {
-		return ReaderSilent // the next round asks again, or another
+		return ReaderSilent, horizon // the next round asks again, or another
 	}
 	var a freshAnswer
 	if err := conn.Unmarshal(b, &a); err != nil {
 		d.log.WithField("part", "peers").Warnf("answer of %s: %v", name, err)
-		return ReaderSilent
+		return ReaderSilent, horizon
 	}
 	if a.Known {
 		d.takeFresh(sent, name, a)
@@ -147,13 +174,14 @@
 		d.heard()
 		d.chargeAll(time.Now(), d.flow.Take(time.Now(), a.Source, a.Flow))
 	}
+	horizon = sent.Add(-max(a.Age, a.Listed))
 	switch {
 	case a.Failing:
-		return ReaderFailing
+		return ReaderFailing, horizon
 	case !a.Known:
-		return ReaderSilent // it has just started
+		return ReaderSilent, horizon // it has just started
 	}
-	return ReaderWell
+	return ReaderWell, horizon
 }
 
 // logAnswer tells of an answer of another daemon that failed or came late.
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -17,8 +17,12 @@
 
 const (
 	// runnerWait is how long the store holds the question for changes of the
-	// endpoints. It bounds how late a silent loss of the store is noticed.
+	// endpoints at the most. It bounds how late a silent loss of the store is
+	// noticed, and is a part of the age of every list.
 	runnerWait = 1500 * time.Millisecond
+	// waitShare is its share of the bound on leaving endpoints. With a round of
+	// questions between daemons a list is 0.6 of the bound old at the most.
+	waitShare = 0.35
 	// lapseHold is how long after the store's return an endpoint whose entry is
 	// missing is still used: entries that lapsed meanwhile are back within about
 	// 2 s, and a change takes some time to come here.
@@ -56,7 +60,7 @@
 
 // follow keeps up with the store until ctx ends.
 func (k *runnerKeeper) follow(ctx context.Context) {
-	f := feeder{d: k.d, table: platform.RunnerTable, wait: func() time.Duration { return runnerWait }, name: "endpoints"}
+	f := feeder{d: k.d, table: platform.RunnerTable, wait: k.wait, name: "endpoints"}
 	f.run(ctx, k.current, func(now, sent time.Time, p platform.Page, whole bool) error {
 		k.storeBack(now)
 		k.take(now, p.Version, p.Rows, whole)
@@ -65,6 +69,14 @@
 	})
 }
 
+// wait is how long the store holds the question for changes.
+func (k *runnerKeeper) wait() time.Duration {
+	if age, ok := k.fresh.Age(time.Now()); ok && late(age, k.d.listBound()) {
+		return 0 // what counts is to know that the list is still the newest
+	}
+	return min(runnerWait, time.Duration(waitShare*float64(k.d.Site().Bounds.Drain)))
+}
+
 // take takes rows in. An entry that is gone right after an outage of the store
 // is held a while.
 func (k *runnerKeeper) take(now time.Time, version int64, rows []platform.Row, whole bool) {
@@ -137,13 +149,13 @@
 }
 
 // gone drops an endpoint, or marks it as missing while that may be the fault of
-// an outage.
+// an outage: one that others have had too, as own calls also fail over a full link.
 func (k *runnerKeeper) gone(now time.Time, id string) {
 	r, ok := k.byID[id]
 	if !ok {
 		return
 	}
-	if !k.failedAt.IsZero() && now.Sub(k.failedAt) < lapseHold && !r.Leaving {
+	if !k.failedAt.IsZero() && now.Sub(k.failedAt) < lapseHold && !r.Leaving && k.d.sharedOutage(now) {
 		if !k.missing[id] {
 			k.d.log.WithFields(logrus.Fields{"part": "endpoints", "endpoint": id}).Info("entry missing after an outage, held")
 		}
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,6 +44,7 @@
 	strong  int                      // so many daemons have more processor time than the others; 0 for all alike
 	links   map[string]*standin.Link // of the daemons' boxes; nil for a network without limits
 	bulk    []map[string]any         // routes that nobody asks for
+	connect atomic.Int64             // how long a connection to an endpoint takes to open, nanoseconds
 }
 
 // The service names, hosts and keys of a world.
@@ -54,6 +56,7 @@
 	key     = "key-a"
 
 	storeAddress = "10.9.0.1:80"
+	runnerHost   = "127.0.0.1:"
 )
 
 // inWorld runs f in virtual time among so many daemons.
@@ -159,7 +162,7 @@
 		w.links[name] = standin.NewLink(w.rateOf(i))
 		n = w.links[name].Over(n)
 	}
-	d, err := entry.New(site, named{n, ctx, name}, log, 0)
+	d, err := entry.New(site, named{n, ctx, name, &w.connect}, log, 0)
 	require.NoError(w.t, err)
 	return d
 }
@@ -196,11 +199,12 @@
 	seam.Network
 	ctx  context.Context
 	name string
+	wait *atomic.Int64 // until a connection to an endpoint is open
 }
 
 // runner starts an endpoint and enters it in the store.
 func (w *world) runner(service, zone, id string, events int) *standin.Runner {
-	r, err := standin.NewRunner(w.net, "127.0.0.1:0", id, events, 20*time.Millisecond)
+	r, err := standin.NewRunner(w.net, runnerHost+"0", id, events, 20*time.Millisecond)
 	require.NoError(w.t, err)
 	w.runners = append(w.runners, r)
 	w.store.Put(platform.RunnerTable, "", id, r.Entry(service, zone, "ready"))
@@ -289,6 +293,9 @@
 	if n.ctx.Err() != nil {
 		return nil, n.ctx.Err()
 	}
+	if strings.HasPrefix(address, runnerHost) {
+		time.Sleep(time.Duration(n.wait.Load()))
+	}
 	c, err := n.Network.Dial(ctx, network, address)
 	if err != nil || address != storeAddress {
 		return c, err
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -64,7 +64,12 @@
 func (r *run) route(ctx context.Context) (Choice, *code.Error) {
 	for {
 		now := time.Now()
-		c, ok := r.choose(now)
+		until, listed := r.opts.listed(now) // before the choice, so that it is not of a newer list
+		c, ok := Choice{}, false
+		if listed {
+			c, ok = r.choose(now)
+			c.Until = until
+		}
 		if err := r.overloaded(c); ok && err != nil {
 			return Choice{}, err
 		}
--- a/request/relay.go
+++ b/request/relay.go
@@ -102,6 +102,7 @@
 	errOtherAnswer = errors.New("request: the answer belongs to another request")
 	errUnsigned    = errors.New("request: the answer is not the endpoint's own")
 	errOrder       = errors.New("request: an event is missing or came twice")
+	errOldList     = errors.New("request: what was known of the endpoint has become too old")
 	errLate        = errors.New("request: the deadline has passed")
 	errCaller      = errors.New("request: the caller takes nothing")
 )
@@ -120,11 +121,13 @@
 	defer cancel(nil)
 	dog := r.watchRelay(c, cancel)
 	defer dog.stop()
+	old := r.watchAge(c, cancel)
+	defer old.Stop()
 	mark := r.sendPrompt(c)
 	resp, err := r.Client.Forward(ctx, conn.Passed{
 		Address: c.Target.Address, Method: r.r.Method, Target: r.r.Path, Host: x.Host,
 		Header: x.Codec.Head(Attempt{Endpoint: c.Target.ID, Left: left, Resume: x.head, After: x.last}),
-		Body:   r.r.Body, Fresh: r.r.Unrepeatable,
+		Body:   r.r.Body, Fresh: r.r.Unrepeatable, Connected: func() { old.Stop() },
 	})
 	if err != nil {
 		c.Target.backlog.Dropped(time.Now(), mark)
@@ -195,6 +198,16 @@
 	}
 }
 
+// watchAge ends an attempt that has no connection when the list by which its endpoint
+// was chosen becomes too old: the endpoint may have said since that it leaves.
+func (r *run) watchAge(c Choice, cancel context.CancelCauseFunc) *time.Timer {
+	until := c.Until
+	if until.IsZero() {
+		until = r.r.Deadline
+	}
+	return time.AfterFunc(time.Until(until), func() { cancel(errOldList) })
+}
+
 // because returns why a context has ended an attempt, or the attempt's error.
 func because(ctx context.Context, err error) error {
 	if cause := context.Cause(ctx); err != nil && cause != nil {
--- a/request/route.go
+++ b/request/route.go
@@ -47,6 +47,7 @@
 	Why    string
 	Reading
 	First  time.Duration // until the first event, as expected; 0 if not known
+	Until  time.Time     // by then the request is on its way, or the list is too old; zero for no limit
 	Others [candidateCount]Candidate
 }
 
--- a/request/settle.go
+++ b/request/settle.go
@@ -32,7 +32,9 @@
 	if e != EndedUnsent && e != EndedRefused {
 		r.life.Tainted = true
 	}
-	r.note(now, t, e)
+	if !errors.Is(failure, errOldList) {
+		r.note(now, t, e)
+	}
 	a := Aftermath{
 		Ending: e, Unrepeatable: r.r.Unrepeatable, Tainted: r.life.Tainted,
 		Budget: r.opts.NoBudget || r.work.Budget.Left(now), GiveUpAt: r.giveUpAt(),
--- a/request/work.go
+++ b/request/work.go
@@ -37,12 +37,25 @@
 	NoFairQueue bool          // one line for all teams, for comparison
 	Retry       *RetryBound   // of the retries over all daemons; nil for a share of the successes
 	RouteWait   time.Duration // how long a request waits for an endpoint; 0 for until its deadline
+	Listed      Listed        // nil for a list of endpoints that is never too old
 	Homes       func() bool   // daemons know little of what others have sent; nil for no
 	Sent        func(s Sent)  // is told of each prompt sent to an engine; nil for none
 	Without     mechanism.Set // mechanisms that are switched off
 	Judge       JudgePolicy   // decides what follows an attempt; nil for Classify
 }
 
+// Listed tells until when a request may be on its way to an endpoint that is chosen
+// by the present list, zero for no limit; ok is false if that is too old to choose by.
+type Listed func(now time.Time) (until time.Time, ok bool)
+
+// listed asks Listed, if there is one.
+func (o *Options) listed(now time.Time) (until time.Time, ok bool) {
+	if o.Listed == nil {
+		return time.Time{}, true
+	}
+	return o.Listed(now)
+}
+
 // JudgePolicy decides what follows an attempt. It may correct what is known of
 // the request.
 type JudgePolicy func(now time.Time, a *Aftermath) Verdict
