entry, platform, conn: a catalog passes packed, in pieces that are kept

Cause (the second one): each daemon behind was sent the whole catalog with each answer, and an answer not in within 700 ms was thrown away, then asked for again, after 2 s from two daemons, the second the same for all that were behind. What told of endpoints came with those answers, and waited behind them. Read from the store, the catalog had to come whole within 1.2 to 1.4 s.

Change: a catalog passes between daemons packed (965 KB become 49 KB), in pieces of 16 KB, from one daemon at a time; a piece that has come is kept, and whoever is asked next goes on from there, also when a newer version has come meanwhile. An answer of the store may take as long as it makes progress; one that stalls for 700 ms is given up. A daemon that comes to read for itself goes on from the version that others have brought it to, instead of reading the catalog again. A question to a daemon whose link is full no longer outlives its time limit.

--- a/conn/ask.go
+++ b/conn/ask.go
@@ -39,14 +39,15 @@
 		if err != nil {
 			reply.Error = err.Error()
 		}
-		h.push(l, encode(message{Ask: reply}))
+		h.push(h.ctx, l, encode(message{Ask: reply}))
 	}()
 }
 
-func (h *Hub) push(l *link, f []byte) {
+func (h *Hub) push(ctx context.Context, l *link, f []byte) {
 	select {
 	case l.out <- f:
 	case <-l.dead:
+	case <-ctx.Done():
 	}
 }
 
@@ -80,7 +81,7 @@
 		delete(h.asks, id)
 		h.mu.Unlock()
 	}()
-	h.push(l, encode(message{Ask: &ask{ID: id, Kind: kind, Body: body}}))
+	h.push(ctx, l, encode(message{Ask: &ask{ID: id, Kind: kind, Body: body}}))
 	select {
 	case a := <-ch:
 		if a.Error != "" {
--- a/entry/age_test.go
+++ b/entry/age_test.go
@@ -149,3 +149,43 @@
 	}
 	return out
 }
+
+// An answer of the store that makes progress is read to its end: here 2.5 MB over a
+// link that takes 2 s for them.
+func TestALargeConfigurationIsReadOverAWeakLink(t *testing.T) {
+	inWorldOf(t, 1, func(w *world) {
+		linked(w)
+		w.strong = -1
+		w.bulk = bulk(10000)
+	}, func(w *world) {
+		w.runner(plain, "a", "i-1", 0)
+		time.Sleep(2 * time.Second)
+		assert.True(t, w.ready(0))
+		assert.Equal(t, http.StatusOK, w.ask(0, http.MethodPost, "/write/", "id-1").status)
+	})
+}
+
+// Each change is whole for others before the next may replace it, so that changes in
+// quick succession hold nobody's up.
+func TestLargeConfigurationsInQuickSuccession(t *testing.T) {
+	atSize(t, func(w *world) {
+		w.runner(plain, "a", "i-1", 0)
+		time.Sleep(2 * time.Second)
+		for n := range 20 {
+			w.bulk = bulk(5000 + n)
+			w.put()
+			time.Sleep(200 * time.Millisecond)
+			for i := range w.daemons {
+				assert.True(t, w.ready(i), "daemon %d after %d changes", i, n+1)
+			}
+		}
+		w.routes[2]["service"] = "other"
+		now := w.runner("other", "a", "i-2", 0)
+		w.put()
+		time.Sleep(bound)
+		for i := range w.daemons {
+			w.ask(i, http.MethodPost, "/write/", fmt.Sprint("id-", i))
+		}
+		assert.Len(t, now.Ran(), len(w.daemons))
+	})
+}
--- a/entry/catalog.go
+++ b/entry/catalog.go
@@ -57,6 +57,18 @@
 	d     *Daemon
 	fresh Freshness
 	cur   atomic.Pointer[inForce]
+	at    atomic.Int64 // the store's version up to which it is the newest
+}
+
+// readTo notes that the catalog in force is the newest up to a version of the store,
+// from which this daemon goes on if it comes to read for itself.
+func (k *catalogKeeper) readTo(version int64) {
+	for {
+		old := k.at.Load()
+		if old >= version || k.at.CompareAndSwap(old, version) {
+			return
+		}
+	}
 }
 
 // get returns the catalog in force, or nil before the first one.
@@ -103,7 +115,7 @@
 // follow keeps up with the store until ctx ends.
 func (k *catalogKeeper) follow(ctx context.Context) {
 	f := feeder{d: k.d, table: platform.CatalogTable, wait: k.wait, name: "catalog"}
-	f.run(ctx, func() int64 { return 0 }, func(now, sent time.Time, p platform.Page, _ bool) error {
+	f.run(ctx, k.at.Load, func(now, sent time.Time, p platform.Page, _ bool) error {
 		if row, ok := platform.CatalogRow(p.Rows); ok {
 			if err := k.adopt(row.Value, "store"); err != nil {
 				return err
@@ -111,6 +123,7 @@
 		}
 		if k.get() != nil {
 			k.fresh.Store(sent, now, p.Clock)
+			k.readTo(p.Version)
 		}
 		return nil
 	})
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -79,7 +79,10 @@
 	counted    atomic.Bool  // the daemons' rows in the store were read
 	readerTurn ReaderTurn
 	outage     Outage
-	asked      int // rounds of questions to daemons that are no readers; of one goroutine
+	fetching   sync.Mutex // of who asks another daemon for a catalog's pieces
+	coming     assembly   // what has come of them
+	shelf      shelf      // what others fetch
+	asked      int        // rounds of questions to daemons that are no readers; of one goroutine
 
 	ctx    context.Context
 	cancel context.CancelFunc
--- a/entry/feeder.go
+++ b/entry/feeder.go
@@ -87,13 +87,8 @@
 
 func (f *feeder) ask(ctx context.Context, at int64, whole bool) (platform.Page, error) {
 	if !whole {
-		wait := f.wait()
-		ctx, cancel := context.WithTimeout(ctx, wait+answerLimit)
-		defer cancel()
-		return f.d.store.Feed(ctx, f.table, at, wait)
+		return f.d.store.Feed(ctx, f.table, at, f.wait())
 	}
-	ctx, cancel := context.WithTimeout(ctx, 2*answerLimit)
-	defer cancel()
 	all, err := f.d.store.Rows(ctx, f.table, "", "")
 	for more := all; err == nil && more.More && len(more.Rows) > 0; {
 		more, err = f.d.store.Rows(ctx, f.table, "", more.Rows[len(more.Rows)-1].Key+"\x00")
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -34,8 +34,10 @@
 
 // freshQuestion says what the asker has.
 type freshQuestion struct {
-	Catalog int64 `codec:"c"` // version of its catalog
-	Runners int64 `codec:"r"` // the store's version of its endpoints
+	Catalog int64    `codec:"c"`           // version of its catalog
+	Runners int64    `codec:"r"`           // the store's version of its endpoints
+	Fetch   bool     `codec:"f,omitempty"` // it wants the next piece of a newer catalog
+	Got     progress `codec:"g"`           // what it has of one
 
 	Tally *conn.Tally `codec:"t,omitempty"` // the asker's own, where the daemons are many
 }
@@ -46,7 +48,8 @@
 	Failing bool          `codec:"f,omitempty"` // the answerer reads the store, and it fails
 	Age     time.Duration `codec:"a"`           // of the answerer's knowledge
 	Catalog int64         `codec:"c"`
-	Value   []byte        `codec:"v,omitempty"` // the catalog, if newer
+	At      int64         `codec:"p"`           // the store's version up to which that is the newest
+	Piece   *piece        `codec:"v,omitempty"` // of a newer one
 	Runners int64         `codec:"r"`
 	Listed  time.Duration `codec:"l"`           // age of the answerer's list of endpoints
 	Entries []entryRow    `codec:"e,omitempty"` // the endpoints that have changed since the asker's version
@@ -137,18 +140,29 @@
 }
 
 // askPeer asks one daemon, and returns what it says of its reading.
+// While it brings the pieces of a newer catalog, it is asked for the next at once;
+// one daemon at a time is, as a link has room for one.
 func (d *Daemon) askPeer(ctx context.Context, name string) ReaderWord {
-	w, horizon := d.hearPeer(ctx, name)
-	d.outage.Hear(time.Now(), name, w, horizon)
-	return w
+	fetch := d.fetching.TryLock()
+	if fetch {
+		defer d.fetching.Unlock()
+	}
+	for {
+		w, horizon, more := d.hearPeer(ctx, name, fetch)
+		d.outage.Hear(time.Now(), name, w, horizon)
+		if !more || ctx.Err() != nil {
+			return w
+		}
+	}
 }
 
 // hearPeer asks one daemon and takes its answer in. It returns what that daemon says
-// of its reading, and when what it holds is known to have been the newest.
-func (d *Daemon) hearPeer(ctx context.Context, name string) (w ReaderWord, horizon time.Time) {
+// of its reading, when what it holds is known to have been the newest, and whether it
+// has more of a newer catalog.
+func (d *Daemon) hearPeer(ctx context.Context, name string, fetch bool) (w ReaderWord, horizon time.Time, more bool) {
 	ctx, cancel := context.WithTimeout(ctx, peerLimit)
 	defer cancel()
-	q := freshQuestion{Runners: d.runners.current()}
+	q := freshQuestion{Runners: d.runners.current(), Fetch: fetch, Got: d.coming.progress()}
 	if c := d.catalog.get(); c != nil {
 		q.Catalog = c.Version
 	}
@@ -160,15 +174,15 @@
 	b, err := d.Hub.Ask(ctx, name, askFresh, conn.Marshal(q))
 	d.logAnswer(name, time.Since(sent), len(b), err)
 	if err != nil {
-		return ReaderSilent, horizon // the next round asks again, or another
+		return ReaderSilent, horizon, false // the next round asks again, or another
 	}
 	var a freshAnswer
 	if err := conn.Unmarshal(b, &a); err != nil {
 		d.log.WithField("part", "peers").Warnf("answer of %s: %v", name, err)
-		return ReaderSilent, horizon
+		return ReaderSilent, horizon, false
 	}
 	if a.Known {
-		d.takeFresh(sent, name, a)
+		more = d.takeFresh(sent, name, a)
 	}
 	if a.Source != "" {
 		d.heard()
@@ -177,11 +191,11 @@
 	horizon = sent.Add(-max(a.Age, a.Listed))
 	switch {
 	case a.Failing:
-		return ReaderFailing, horizon
+		return ReaderFailing, horizon, more
 	case !a.Known:
-		return ReaderSilent, horizon // it has just started
+		return ReaderSilent, horizon, more // it has just started
 	}
-	return ReaderWell, horizon
+	return ReaderWell, horizon, more
 }
 
 // logAnswer tells of an answer of another daemon that failed or came late.
@@ -195,12 +209,17 @@
 	}).Info("another daemon's answer is late or missing")
 }
 
-func (d *Daemon) takeFresh(sent time.Time, name string, a freshAnswer) {
-	if len(a.Value) > 0 {
-		if err := d.catalog.adopt(a.Value, name); err != nil {
+// takeFresh takes an answer in, and reports whether more of its catalog is to come.
+func (d *Daemon) takeFresh(sent time.Time, name string, a freshAnswer) (more bool) {
+	if a.Piece != nil {
+		value, rest, err := d.coming.add(a.Piece)
+		if err == nil && value != nil {
+			err = d.catalog.adopt(value, name)
+		}
+		if err != nil {
 			d.log.WithField("part", "catalog").Warnf("catalog of %s: %v", name, err)
-			return
 		}
+		more = rest && err == nil
 	}
 	if a.Runners > d.runners.current() {
 		rows := make([]platform.Row, 0, len(a.Entries))
@@ -214,7 +233,9 @@
 	}
 	if c := d.catalog.get(); c != nil && c.Version >= a.Catalog {
 		d.catalog.fresh.Peer(sent, a.Age)
+		d.catalog.readTo(a.At)
 	}
+	return more
 }
 
 // answerFresh answers another daemon's question.
@@ -231,13 +252,17 @@
 	now := time.Now()
 	age, ok := d.catalog.fresh.Age(now) // before the state is read, so that it is not newer than that
 	listed, _ := d.runners.fresh.Age(now)
+	a.At = d.catalog.at.Load()
 	f := d.catalog.cur.Load()
 	if f == nil || !ok || !d.runners.known() {
 		return conn.Marshal(a), nil
 	}
 	a.Known, a.Failing, a.Age, a.Listed, a.Catalog = true, d.feedsDown.Load() > 0, age, listed, f.catalog.Version
-	if a.Catalog > q.Catalog {
-		a.Value = f.value
+	if q.Fetch && a.Catalog > q.Catalog {
+		var err error
+		if a.Piece, err = d.shelf.next(f, q.Got); err != nil {
+			return nil, err
+		}
 	}
 	var rows []platform.Row
 	a.Runners, rows, a.Whole = d.runners.since(q.Runners)
