entry: what others hold speaks against an outage; a newer catalog is not given up for an older

Now a word carries what its daemon holds of each table and when it was asked; the youngest speaks. Endpoints are held as lapsed only while that makes an outage certain for the list. A daemon is alone if the store has answered it since all others were gone. The right to fetch is taken once somebody has a newer catalog.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -79,10 +79,11 @@
 	counted    atomic.Bool  // the daemons' rows in the store were read
 	readerTurn ReaderTurn
 	outage     Outage
-	fetching   sync.Mutex // of who asks another daemon for a catalog's pieces
-	coming     assembly   // what has come of them
-	shelf      shelf      // what others fetch
-	asked      int        // rounds of questions to daemons that are no readers; of one goroutine
+	aloneSince atomic.Pointer[time.Time] // no other daemon is alive since then; nil while one is
+	fetching   sync.Mutex                // of who asks another daemon for a catalog's pieces
+	coming     assembly                  // what has come of them
+	shelf      shelf                     // what others fetch
+	asked      int                       // rounds of questions to daemons that are no readers; of one goroutine
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -206,7 +207,7 @@
 	listed, _ := d.runners.fresh.Age(now)
 	keys := c != nil && c.Keyed() && d.Site().Bounds.StrictRevocation
 	stale := keys && age > d.Site().Bounds.Revocation-freshMargin
-	stale = stale || !d.current(now, age, d.Site().Bounds.Configuration)
+	stale = stale || !d.catalogCurrent(now, age)
 	_, reach := d.listed(now)
 	ok := c != nil && known && d.runners.known() && !stale && reach && !d.stopping.Load()
 	if d.ready.Swap(ok) != ok {
@@ -252,6 +253,8 @@
 		d.Server.Works.Tick(now, len(d.Hub.Mesh.Members()))
 		d.runners.tick(now)
 		d.judgeCutOff(now)
+		d.noteAlone(now)
+		d.noteOutage(now)
 		d.assumeFlow(now)
 		d.judgeReady(now)
 	})
@@ -358,9 +361,6 @@
 // instanceOf names a start of a daemon.
 func instanceOf(m conn.Member) string { return fmt.Sprintf("%s#%d", m.Name, m.Start) }
 
-// storeFailed notes that the store did not answer.
-func (d *Daemon) storeFailed(now time.Time) { d.runners.storeFailed(now) }
-
 func (d *Daemon) gauges() {
 	c := &d.Server.Count
 	for name, f := range map[string]func() int64{
--- a/entry/freshness.go
+++ b/entry/freshness.go
@@ -63,6 +63,13 @@
 	return now.Sub(f.at), !f.at.IsZero()
 }
 
+// After reports whether the state is known to have been the newest after a moment.
+func (f *Freshness) After(t time.Time) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.at.After(t)
+}
+
 // gauge returns the age in milliseconds, or less than 0 if there is none.
 func (f *Freshness) gauge() int64 {
 	if age, ok := f.Age(time.Now()); ok {
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -99,7 +99,7 @@
 	if c == nil {
 		return code.New(code.Isolated, "no configuration is known here yet").After(comeBack)
 	}
-	if !s.d.current(now, age, s.d.Site().Bounds.Configuration) {
+	if !s.d.catalogCurrent(now, age) {
 		return code.New(code.Isolated, "the configuration is %s old, and there may be a newer one", age.Round(time.Millisecond)).After(comeBack)
 	}
 	path, _, _ := strings.Cut(target(r), "?")
--- a/entry/outage.go
+++ b/entry/outage.go
@@ -24,9 +24,11 @@
 	// question costs a daemon some 0.15 ms; at 380 daemons a reader of 12 zones
 	// answers 210 a second, and only while something is wrong.
 	witnesses = 3
-	// sharedFor is how long after a word of failure an outage counts as one of
-	// others too: the words of two daemons may be a silent call's time apart.
-	sharedFor = lapseHold + wordLife
+	// wordKept is how long the word of a daemon that is asked no more is kept.
+	wordKept = 10 * wordLife
+	// servedLately is up to which age of a list its holder is served by the store: the
+	// longest wait of a question for changes, and a third as much again for its way.
+	servedLately = 2 * time.Second
 )
 
 // Outage collects what other daemons say of the store. A daemon's own calls fail as
@@ -34,62 +36,66 @@
 // The zero value is ready.
 type Outage struct {
 	mu    sync.Mutex
-	words map[string]heardWord
-	last  time.Time // of a word of failure
+	words map[string]Word
 }
 
-type heardWord struct {
-	word    ReaderWord
-	horizon time.Time // when what that daemon holds is known to have been the newest
-	at      time.Time
+// Word is what came of a question to another daemon.
+type Word struct {
+	Reader  ReaderWord
+	Asked   time.Time
+	Catalog time.Time // its catalog is known to have been the newest then
+	Listed  time.Time // and its list of endpoints
 }
 
-// Hear takes in what a daemon says, and when what it holds is known to have been the
-// newest.
-func (o *Outage) Hear(now time.Time, name string, w ReaderWord, horizon time.Time) {
+// Hear takes in what came of a question to a daemon. Silence leaves in force what the
+// daemon said to a later question, and what it was known to hold.
+func (o *Outage) Hear(name string, w Word) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.words == nil {
-		o.words = make(map[string]heardWord)
+		o.words = make(map[string]Word)
 	}
+	old, ok := o.words[name]
+	if ok && w.Asked.Before(old.Asked) {
+		return
+	}
+	if w.Reader == ReaderSilent {
+		w.Catalog, w.Listed = old.Catalog, old.Listed
+	}
+	o.words[name] = w
 	for n, old := range o.words {
-		if now.Sub(old.at) > wordLife {
+		if w.Asked.Sub(old.Asked) > wordKept {
 			delete(o.words, n)
 		}
 	}
-	o.words[name] = heardWord{w, horizon, now}
-	if w == ReaderFailing {
-		o.last = now
-	}
 }
 
+// Horizon picks one of a word's moments.
+type Horizon func(Word) time.Time
+
+// Horizons of the catalog and of the list of endpoints.
+var (
+	OfCatalog Horizon = func(w Word) time.Time { return w.Catalog }
+	OfList    Horizon = func(w Word) time.Time { return w.Listed }
+)
+
 // Certain reports whether the store fails everybody: each of the daemons asked has
 // said so or is silent, and one at least has said so. Whoever holds something
-// younger than bound speaks against it.
-func (o *Outage) Certain(now time.Time, asked []string, bound time.Duration) bool {
+// younger than bound speaks against it, whatever it says.
+func (o *Outage) Certain(now time.Time, asked []string, of Horizon, bound time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	failing := false
 	for _, name := range asked {
 		w, ok := o.words[name]
-		if !ok || now.Sub(w.at) > wordLife {
+		if !ok || now.Sub(w.Asked) > wordLife || now.Sub(of(w)) <= bound {
 			return false
 		}
-		if w.word == ReaderWell && now.Sub(w.horizon) <= bound {
-			return false
-		}
-		failing = failing || w.word == ReaderFailing
+		failing = failing || w.Reader == ReaderFailing
 	}
 	return failing
 }
 
-// Shared reports whether the store has failed another daemon lately.
-func (o *Outage) Shared(now time.Time) bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return !o.last.IsZero() && now.Sub(o.last) < sharedFor
-}
-
 // Witnesses returns the daemons that one asks whether the store fails everybody: the
 // readers that it asks anyway, then others in an order of its own.
 func Witnesses(self conn.Member, members []conn.Member) []string {
@@ -112,25 +118,53 @@
 // witnesses returns the daemons that this one asks.
 func (d *Daemon) witnesses() []string { return Witnesses(d.Self, d.Hub.Mesh.Members()) }
 
-// current reports whether something of an age may be acted on: it is within its
-// bound, or the store fails everybody, so that nothing younger is to be had. Not
-// the speed of its spreading but this keeps the bound, at each use.
-func (d *Daemon) current(now time.Time, age, bound time.Duration) bool {
-	switch {
-	case age <= bound:
-		return true
-	case d.only():
+// outageFor reports whether the store fails everybody, so that nothing younger than
+// what this daemon holds is to be had.
+func (d *Daemon) outageFor(now time.Time, held *Freshness, of Horizon, bound time.Duration) bool {
+	if d.only(held) {
 		return d.feedsDown.Load() > 0
 	}
-	return d.outage.Certain(now, d.witnesses(), bound)
+	return d.outage.Certain(now, d.witnesses(), of, bound)
+}
+
+// catalogCurrent reports whether requests may be admitted by a catalog of an age: it
+// is within its bound, or nothing younger is to be had. Not the speed of its spreading
+// but this keeps the bound, at each use.
+func (d *Daemon) catalogCurrent(now time.Time, age time.Duration) bool {
+	bound := d.Site().Bounds.Configuration
+	return age <= bound || d.outageFor(now, &d.catalog.fresh, OfCatalog, bound)
 }
 
-// only reports whether there has never been another daemon, but for some that have
-// stopped as planned. Others that are not heard may be served well.
-func (d *Daemon) only() bool { return len(d.Hub.Mesh.Known()) < 2 }
+// only reports whether there is no other daemon: there has never been one, but for
+// some that have stopped as planned, or the store has brought what is held up to date
+// after all were gone, so that it is not this daemon's link that makes them silent.
+func (d *Daemon) only(held *Freshness) bool {
+	if len(d.Hub.Mesh.Known()) < 2 {
+		return d.Site().First || d.counted.Load()
+	}
+	since := d.aloneSince.Load()
+	return since != nil && held.After(*since)
+}
 
-// sharedOutage reports whether the store has lately failed another daemon too.
-func (d *Daemon) sharedOutage(now time.Time) bool { return d.only() || d.outage.Shared(now) }
+// noteAlone brings up to date since when no other daemon is alive.
+func (d *Daemon) noteAlone(now time.Time) {
+	alone := len(d.Hub.Mesh.Members()) < 2
+	switch {
+	case !alone:
+		d.aloneSince.Store(nil)
+	case d.aloneSince.Load() == nil:
+		d.aloneSince.Store(&now)
+	}
+}
+
+// noteOutage notes while the store fails everybody: entries of endpoints lapse then.
+// Whoever is served lately speaks against it, and this daemon itself first.
+func (d *Daemon) noteOutage(now time.Time) {
+	age, _ := d.runners.fresh.Age(now)
+	if d.feedsDown.Load() > 0 && age > servedLately && d.outageFor(now, &d.runners.fresh, OfList, servedLately) {
+		d.runners.storeFailed(now)
+	}
+}
 
 // listBound is the age up to which the list of endpoints decides where a request is
 // sent: by then it must have reached its endpoint.
@@ -143,7 +177,7 @@
 	if bound := d.listBound(); known && age <= bound {
 		return now.Add(bound - age), true
 	}
-	return time.Time{}, known && d.current(now, age, d.listBound())
+	return time.Time{}, known && d.outageFor(now, &d.runners.fresh, OfList, d.listBound())
 }
 
 // late reports whether what a daemon holds has come close to a bound, so that it
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -50,6 +50,7 @@
 	Catalog int64         `codec:"c"`
 	At      int64         `codec:"p"`           // the store's version up to which that is the newest
 	Piece   *piece        `codec:"v,omitempty"` // of a newer one
+	Fetched bool          `codec:"d,omitempty"` // the asker wanted a piece
 	Runners int64         `codec:"r"`
 	Listed  time.Duration `codec:"l"`           // age of the answerer's list of endpoints
 	Entries []entryRow    `codec:"e,omitempty"` // the endpoints that have changed since the asker's version
@@ -139,27 +140,30 @@
 	}
 }
 
-// askPeer asks one daemon, and returns what it says of its reading.
-// While it brings the pieces of a newer catalog, it is asked for the next at once;
-// one daemon at a time is, as a link has room for one.
+// askPeer asks one daemon, and returns what it says of its reading. If it has a newer
+// catalog it is asked for that, piece after piece; one daemon at a time is, as a link
+// has room for one.
 func (d *Daemon) askPeer(ctx context.Context, name string) ReaderWord {
-	fetch := d.fetching.TryLock()
-	if fetch {
-		defer d.fetching.Unlock()
-	}
+	fetch := false
 	for {
-		w, horizon, more := d.hearPeer(ctx, name, fetch)
-		d.outage.Hear(time.Now(), name, w, horizon)
+		w, more := d.hearPeer(ctx, name, fetch)
+		d.outage.Hear(name, w)
 		if !more || ctx.Err() != nil {
-			return w
+			return w.Reader
+		}
+		if !fetch {
+			if !d.fetching.TryLock() {
+				return w.Reader
+			}
+			defer d.fetching.Unlock()
+			fetch = true
 		}
 	}
 }
 
-// hearPeer asks one daemon and takes its answer in. It returns what that daemon says
-// of its reading, when what it holds is known to have been the newest, and whether it
-// has more of a newer catalog.
-func (d *Daemon) hearPeer(ctx context.Context, name string, fetch bool) (w ReaderWord, horizon time.Time, more bool) {
+// hearPeer asks one daemon and takes its answer in. It returns what came of that, and
+// whether the daemon has more of a newer catalog.
+func (d *Daemon) hearPeer(ctx context.Context, name string, fetch bool) (w Word, more bool) {
 	ctx, cancel := context.WithTimeout(ctx, peerLimit)
 	defer cancel()
 	q := freshQuestion{Runners: d.runners.current(), Fetch: fetch, Got: d.coming.progress()}
@@ -171,15 +175,16 @@
 		q.Tally = &t
 	}
 	sent := time.Now()
+	w = Word{Reader: ReaderSilent, Asked: sent}
 	b, err := d.Hub.Ask(ctx, name, askFresh, conn.Marshal(q))
 	d.logAnswer(name, time.Since(sent), len(b), err)
 	if err != nil {
-		return ReaderSilent, horizon, false // the next round asks again, or another
+		return w, false // the next round asks again, or another
 	}
 	var a freshAnswer
 	if err := conn.Unmarshal(b, &a); err != nil {
 		d.log.WithField("part", "peers").Warnf("answer of %s: %v", name, err)
-		return ReaderSilent, horizon, false
+		return w, false
 	}
 	if a.Known {
 		more = d.takeFresh(sent, name, a)
@@ -188,14 +193,14 @@
 		d.heard()
 		d.chargeAll(time.Now(), d.flow.Take(time.Now(), a.Source, a.Flow))
 	}
-	horizon = sent.Add(-max(a.Age, a.Listed))
-	switch {
-	case a.Failing:
-		return ReaderFailing, horizon, more
-	case !a.Known:
-		return ReaderSilent, horizon, more // it has just started
+	if a.Known {
+		w.Catalog, w.Listed = sent.Add(-a.Age), sent.Add(-a.Listed)
+		w.Reader = ReaderWell // else it has just started
+	}
+	if a.Failing {
+		w.Reader = ReaderFailing
 	}
-	return ReaderWell, horizon, more
+	return w, more
 }
 
 // logAnswer tells of an answer of another daemon that failed or came late.
@@ -211,7 +216,10 @@
 
 // takeFresh takes an answer in, and reports whether more of its catalog is to come.
 func (d *Daemon) takeFresh(sent time.Time, name string, a freshAnswer) (more bool) {
-	if a.Piece != nil {
+	if a.Piece == nil {
+		c := d.catalog.get()
+		more = !a.Fetched && (c == nil || c.Version < a.Catalog)
+	} else {
 		value, rest, err := d.coming.add(a.Piece)
 		if err == nil && value != nil {
 			err = d.catalog.adopt(value, name)
@@ -258,6 +266,7 @@
 		return conn.Marshal(a), nil
 	}
 	a.Known, a.Failing, a.Age, a.Listed, a.Catalog = true, d.feedsDown.Load() > 0, age, listed, f.catalog.Version
+	a.Fetched = q.Fetch
 	if q.Fetch && a.Catalog > q.Catalog {
 		var err error
 		if a.Piece, err = d.shelf.next(f, q.Got); err != nil {
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -149,13 +149,13 @@
 }
 
 // gone drops an endpoint, or marks it as missing while that may be the fault of
-// an outage: one that others have had too, as own calls also fail over a full link.
+// an outage.
 func (k *runnerKeeper) gone(now time.Time, id string) {
 	r, ok := k.byID[id]
 	if !ok {
 		return
 	}
-	if !k.failedAt.IsZero() && now.Sub(k.failedAt) < lapseHold && !r.Leaving && k.d.sharedOutage(now) {
+	if !k.failedAt.IsZero() && now.Sub(k.failedAt) < lapseHold && !r.Leaving {
 		if !k.missing[id] {
 			k.d.log.WithFields(logrus.Fields{"part": "endpoints", "endpoint": id}).Info("entry missing after an outage, held")
 		}
@@ -200,7 +200,7 @@
 	}
 }
 
-// storeFailed notes that the store did not answer.
+// storeFailed notes that the store answers nobody.
 func (k *runnerKeeper) storeFailed(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -83,7 +83,7 @@
 }
 
 // next returns the piece that follows what a daemon has, of what it is fetching if
-// that is still here, else of the newest catalog.
+// that is still here, else of the newest catalog; nil if that is older.
 func (s *shelf) next(f *inForce, got progress) (*piece, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -99,6 +99,9 @@
 			return p.from(got.Have), nil
 		}
 	}
+	if s.newest.version < got.Version {
+		return nil, nil
+	}
 	return s.newest.from(0), nil
 }
 
@@ -125,6 +128,9 @@
 func (a *assembly) add(p *piece) (value []byte, more bool, err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if p.Version < a.version {
+		return nil, false, nil
+	}
 	if p.Version != a.version || p.Sum != a.sum {
 		a.version, a.sum, a.data = p.Version, p.Sum, nil
 	}
--- a/internal/standin/rows.go
+++ b/internal/standin/rows.go
@@ -22,8 +22,8 @@
 	Lost   bool            // does what it is asked and answers nothing
 	Delay  time.Duration   // before each answer
 	Away   map[string]bool // callers, by the word in their X-Daemon header, that get 503
-	Mute   string          // a table about which one caller is answered nothing
-	Muted  string          // that caller
+	Mute   string          // a table about which some callers are answered nothing
+	Muted  map[string]bool // those callers
 }
 
 // Rows is a stand-in of the users' platform's transactional store, with the few
@@ -168,7 +168,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		muted := f.Mute != "" && r.URL.Query().Get("table") == f.Mute && r.Header.Get(daemonHeader) == f.Muted
+		muted := f.Mute != "" && r.URL.Query().Get("table") == f.Mute && f.Muted[r.Header.Get(daemonHeader)]
 		if f.Silent || muted {
 			io.Copy(io.Discard, r.Body) // or the server does not see the caller leave
 			<-r.Context().Done()
