entry, version: a call under a lease is checked when it is made, and over before that is freed

Now the lease is looked at as the call is made, the call ends with the term, and freeing waits for one that is under way.

TestAHolderThatStopsSendsNothingUnderALeaseItHasFreed fails on the code before (with its mutex replaced, which virtual time does not pass): one call after the stop. A daemon that takes the lease later counts its last call from its end, not its beginning.

--- a/entry/duties.go
+++ b/entry/duties.go
@@ -6,10 +6,10 @@
 	"context"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"streambend.example/conn"
@@ -43,7 +43,8 @@
 // duties are the calls that one daemon at a time makes.
 type duties struct {
 	d     *Daemon
-	mu    sync.Mutex // over the lease and what follows from it: a planned stop gives it up from outside
+	gate  gate // over the lease and what follows from it: a planned stop gives it up from outside
+	calls gate // over a call under the lease, which must be over before that is freed
 	lease version.Lease
 	usage usageDuty
 	scale scaleDuty
@@ -51,13 +52,13 @@
 	held    bool
 	failing time.Time    // since when renewals fail; zero while they do not
 	began   time.Time    // of this process
-	acted   time.Time    // the last call that this process has made
+	acted   time.Time    // the end of the last call that this process has made
 	actFrom time.Time    // earlier, this daemon might be seen to alternate with another
 	freed   atomic.Int64 // epoch whose holder has said that it acts no more
 }
 
 func newDuties(d *Daemon) *duties {
-	x := &duties{d: d, lease: version.Lease{Shard: dutyShard, Self: instanceOf(d.Self), Term: dutyTerm, Margin: dutyMargin}, began: time.Now()}
+	x := &duties{d: d, gate: newGate(), calls: newGate(), lease: version.Lease{Shard: dutyShard, Self: instanceOf(d.Self), Term: dutyTerm, Margin: dutyMargin}, began: time.Now()}
 	x.usage = usageDuty{d: d, done: make(map[int64]bool)}
 	x.scale = newScaleDuty(d)
 	return x
@@ -81,8 +82,8 @@
 			x.step(ctx, now)
 		}
 		x.scale.observe(now)
-		if f, ok := x.mayAct(time.Now()); ok {
-			x.act(ctx, f)
+		if _, _, ok := x.mayAct(time.Now()); ok {
+			x.act(ctx)
 		}
 		sleep(ctx, dutyStep)
 	}
@@ -90,15 +91,15 @@
 
 // holds reports whether the lease was ours when it was last looked at.
 func (x *duties) holds() bool {
-	x.mu.Lock()
-	defer x.mu.Unlock()
+	x.gate.lock()
+	defer x.gate.unlock()
 	return x.held
 }
 
 // period is how long after a look at the lease the next is due.
 func (x *duties) period() time.Duration {
-	x.mu.Lock()
-	defer x.mu.Unlock()
+	x.gate.lock()
+	defer x.gate.unlock()
 	holder := x.lease.Holder()
 	if x.held || holder.Holder == "" || holder.Free || x.freed.Load() >= holder.Epoch {
 		return dutyPeriod
@@ -135,8 +136,8 @@
 
 // step renews the lease, or takes it.
 func (x *duties) step(ctx context.Context, now time.Time) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
+	x.gate.lock()
+	defer x.gate.unlock()
 	before := x.lease.Holder()
 	x.lease.Abandoned = x.abandoned(before)
 	call, cancel := context.WithTimeout(ctx, answerLimit)
@@ -213,35 +214,65 @@
 	return instance[:at], start
 }
 
-// mayAct returns the fence to act under, if the lease allows to act now.
-func (x *duties) mayAct(now time.Time) (platform.Fence, bool) {
-	x.mu.Lock()
-	defer x.mu.Unlock()
+// mayAct returns the fence to act under, if the lease allows to act now, and until
+// when a call must have arrived.
+func (x *duties) mayAct(now time.Time) (f platform.Fence, until time.Time, ok bool) {
+	x.gate.lock()
+	defer x.gate.unlock()
 	epoch, held := x.lease.Held(now)
 	if !held || now.Before(x.actFrom) || x.d.stopping.Load() {
-		return platform.Fence{}, false
+		return f, until, false
 	}
-	x.acted = now
-	return platform.Fence{Holder: x.d.Self.Name, Token: epoch}, true
+	return platform.Fence{Holder: x.d.Self.Name, Token: epoch}, x.lease.Ends(), true
 }
 
-func (x *duties) act(ctx context.Context, f platform.Fence) {
+var errNoLease = errors.New("entry: the lease is over")
+
+// call makes a call to the cloud API under the lease as it stands then: what allowed
+// to begin a report may be over when the store has taken that down. The call ends
+// with the term, and the lease is not freed while it is under way.
+func (x *duties) call(ctx context.Context, do func(context.Context, platform.Fence) error) error {
+	x.calls.lock()
+	defer x.calls.unlock()
+	now := time.Now()
+	f, until, ok := x.mayAct(now)
+	if !ok {
+		return errNoLease
+	}
+	ctx, cancel := context.WithTimeout(ctx, min(dutyCall, until.Sub(now)))
+	defer cancel()
+	defer func() { x.acted = time.Now() }()
+	return do(ctx, f)
+}
+
+func (x *duties) act(ctx context.Context) {
 	if x.d.Site().Duties.Usage {
-		x.usage.step(ctx, f, x)
+		x.usage.step(ctx, x)
 	}
 	if x.d.Site().Duties.Scaling {
-		x.scale.step(ctx, f, x)
+		x.scale.step(ctx, x)
 	}
 }
 
 // release gives the lease up, so that another daemon need not wait its term out.
 func (x *duties) release(ctx context.Context) {
+	x.calls.lock()
+	defer x.calls.unlock()
 	ctx, cancel := context.WithTimeout(ctx, answerLimit)
 	defer cancel()
-	x.mu.Lock()
-	defer x.mu.Unlock()
+	x.gate.lock()
+	defer x.gate.unlock()
 	x.held = false
 	if err := x.lease.Release(ctx, time.Now(), x.d.table); err != nil {
 		x.d.log.WithField("part", "duties").Warnf("lease not released: %v", err)
 	}
 }
+
+// gate lets one in at a time, as a mutex does; whoever waits at it holds up nothing
+// else, also in virtual time.
+type gate chan struct{}
+
+func newGate() gate { return make(gate, 1) }
+
+func (g gate) lock()   { g <- struct{}{} }
+func (g gate) unlock() { <-g }
--- /dev/null
+++ b/entry/elsewhere_test.go
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: MIT
+
+package entry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"streambend.example/internal/standin"
+)
+
+// A belief that is used at a later step than it was checked at, or beyond its time:
+// what made an old configuration be used, at other places.
+
+// A holder of the duties writes a report down before it sends it. A planned stop in
+// between frees the lease, so that another may act before the report goes out.
+func TestAHolderThatStopsSendsNothingUnderALeaseItHasFreed(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		time.Sleep(12 * time.Second)
+		calls := w.api.Calls("/usage")
+		holder := calls[len(calls)-1].Holder
+		w.store.SetFault(standin.RowsFault{Delay: 600 * time.Millisecond})
+		// A report is begun 1.8 to 2.05 s after its window, and is then written down.
+		const window = 5 * time.Second
+		time.Sleep(time.Until(time.Now().Truncate(window).Add(window + 2200*time.Millisecond)))
+		before := w.callsOf(holder)
+		for _, d := range w.daemons {
+			if d.Self.Name == holder {
+				d.Stop(w.t.Context())
+			}
+		}
+		time.Sleep(3 * time.Second)
+		assert.Equal(t, before, w.callsOf(holder))
+	})
+}
+
+// callsOf returns how many calls of the cloud API a daemon has made.
+func (w *world) callsOf(daemon string) (n int) {
+	for _, path := range []string{"/usage", "/scale"} {
+		for _, c := range w.api.Calls(path) {
+			if c.Holder == daemon {
+				n++
+			}
+		}
+	}
+	return n
+}
--- a/entry/scale.go
+++ b/entry/scale.go
@@ -124,7 +124,7 @@
 }
 
 // step sends the orders that are due.
-func (x *scaleDuty) step(ctx context.Context, f platform.Fence, u *duties) {
+func (x *scaleDuty) step(ctx context.Context, u *duties) {
 	c := x.d.catalog.get()
 	if c == nil {
 		return
@@ -132,7 +132,7 @@
 	for _, name := range slices.Sorted(maps.Keys(c.Backend)) {
 		b := c.Backend[name]
 		if b.Scaling != nil && (x.early(b.Name) || x.countable(time.Now())) {
-			x.service(ctx, f, u, b)
+			x.service(ctx, u, b)
 		}
 	}
 }
@@ -152,7 +152,7 @@
 	return x.d.without.On(mechanism.EarlyStart) && x.d.Site().First && w != nil && !w.Seen
 }
 
-func (x *scaleDuty) service(ctx context.Context, f platform.Fence, u *duties, b version.Backend) {
+func (x *scaleDuty) service(ctx context.Context, u *duties, b version.Backend) {
 	live, serving := x.count(time.Now(), b.Name)
 	s := x.state[b.Name]
 	if s == nil {
@@ -170,10 +170,9 @@
 		if !s.due(now, o, live[o.Kind]) {
 			continue
 		}
-		if _, ok := u.mayAct(time.Now()); !ok {
+		if err := x.order(ctx, u, b.Name, s, o, live[o.Kind]); errors.Is(err, errNoLease) {
 			return
 		}
-		x.order(ctx, f, b.Name, s, o, live[o.Kind])
 	}
 }
 
@@ -269,24 +268,29 @@
 	return live != o.Count && now.Sub(last.at) >= orderAgain
 }
 
-func (x *scaleDuty) order(ctx context.Context, f platform.Fence, service string, s *serviceScale, o capacity.Order, live int) {
-	call, cancel := context.WithTimeout(ctx, dutyCall)
-	defer cancel()
-	err := x.d.cloud.Scale(call, f, platform.Order{Service: service, Zone: o.Zone, Count: o.Count, Reclaimable: o.Reclaimable})
+func (x *scaleDuty) order(ctx context.Context, u *duties, service string, s *serviceScale, o capacity.Order, live int) error {
+	fields := logrus.Fields{"part": "scale", "service": service, "zone": o.Zone, "reclaimable": o.Reclaimable, "count": o.Count}
+	err := u.call(ctx, func(ctx context.Context, f platform.Fence) error {
+		fields["fence"] = f.Token
+		return x.d.cloud.Scale(ctx, f, platform.Order{Service: service, Zone: o.Zone, Count: o.Count, Reclaimable: o.Reclaimable})
+	})
+	if errors.Is(err, errNoLease) {
+		return err
+	}
 	now := time.Now()
-	fields := logrus.Fields{"part": "scale", "service": service, "zone": o.Zone, "reclaimable": o.Reclaimable, "count": o.Count, "fence": f.Token}
 	if err != nil {
 		pause := min(time.Duration(dryGrowth*float64(max(s.dry[o.Kind].pause, dryProbe))), dryMost)
 		s.dry[o.Kind] = drySpell{now.Add(pause), pause}
 		delete(s.ordered, o.Kind)
 		x.d.log.WithFields(fields).Infof("not ordered: %v", err)
-		return
+		return err
 	}
 	if o.Count > live {
 		s.had(o.Reclaimable)
 	}
 	s.ordered[o.Kind] = scaleOrdered{o.Count, now}
 	x.d.log.WithFields(fields).Info("ordered")
+	return nil
 }
 
 // count counts the endpoints of a service that take requests, and those of them
--- a/entry/usage.go
+++ b/entry/usage.go
@@ -43,13 +43,13 @@
 }
 
 // step reports the windows that are due.
-func (u *usageDuty) step(ctx context.Context, f platform.Fence, x *duties) {
+func (u *usageDuty) step(ctx context.Context, x *duties) {
 	for ; u.due(time.Now()); u.next++ {
-		if _, ok := x.mayAct(time.Now()); !ok {
+		if _, _, ok := x.mayAct(time.Now()); !ok {
 			return
 		}
-		if err := u.report(ctx, f, u.next); err != nil {
-			u.d.log.WithFields(logrus.Fields{"part": "usage", "window": u.next, "fence": f.Token}).Warnf("not reported yet: %v", err)
+		if err := u.report(ctx, x, u.next); err != nil {
+			u.d.log.WithFields(logrus.Fields{"part": "usage", "window": u.next}).Warnf("not reported yet: %v", err)
 			return
 		}
 	}
@@ -61,18 +61,18 @@
 	return !now.Before(end.Add(usageSettle))
 }
 
-func (u *usageDuty) report(ctx context.Context, f platform.Fence, window int64) error {
+func (u *usageDuty) report(ctx context.Context, x *duties, window int64) error {
 	body, err := u.commit(ctx, window)
 	if err != nil {
 		return err
 	}
-	call, cancel := context.WithTimeout(ctx, dutyCall)
-	defer cancel()
-	if err := u.d.cloud.ReportUsage(call, f, body); err != nil {
-		return err
-	}
-	u.d.log.WithFields(logrus.Fields{"part": "usage", "window": window, "fence": f.Token, "report": string(body)}).Info("reported")
-	return nil
+	return x.call(ctx, func(ctx context.Context, f platform.Fence) error {
+		if err := u.d.cloud.ReportUsage(ctx, f, body); err != nil {
+			return err
+		}
+		u.d.log.WithFields(logrus.Fields{"part": "usage", "window": window, "fence": f.Token, "report": string(body)}).Info("reported")
+		return nil
+	})
 }
 
 // commit returns the report of a window that the store holds, and puts ours
--- a/version/lease.go
+++ b/version/lease.go
@@ -60,6 +60,9 @@
 	return l.row.Epoch, l.row.Holder == l.Self && now.Before(l.heldUntil)
 }
 
+// Ends returns when our own term is over for all others too.
+func (l *Lease) Ends() time.Time { return l.heldUntil.Add(l.Margin) }
+
 // Holder returns the holder that was last read.
 func (l *Lease) Holder() LeaseRow { return l.row }
 
