--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -141,7 +141,7 @@
 		o.Sent = d.sends.add
 	}
 	b := d.Site().Bounds
-	o.Retry = &request.RetryBound{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack, Daemons: func() int { return len(d.Hub.Mesh.Members()) }}
+	o.Retry = &request.RetryBound{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack, Daemons: func() int { return d.fleet().Sharers() }}
 	return o
 }
 
@@ -311,7 +311,10 @@
 }
 
 // share is the part of a limit over all daemons that this one may use.
-func (d *Daemon) share() float64 {
+func (d *Daemon) share() float64 { return d.fleet().LimitShare() }
+
+// fleet returns what this daemon knows of the others.
+func (d *Daemon) fleet() Fleet {
 	first := d.Site().First
 	f := Fleet{CutOff: d.cutOff.Load(), Counted: first || d.counted.Load(), Unheard: !first && d.heardAt.Load() == 0}
 	for _, m := range d.Hub.Mesh.Known() {
@@ -320,7 +323,7 @@
 			f.Alive++
 		}
 	}
-	return f.LimitShare()
+	return f
 }
 
 // judgeCutOff brings up to date whether this daemon, one of many, hears nobody.
--- a/entry/elsewhere_test.go
+++ b/entry/elsewhere_test.go
@@ -3,6 +3,8 @@
 package entry_test
 
 import (
+	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
@@ -47,3 +49,30 @@
 	}
 	return n
 }
+
+// Daemons share the retries that a service may get beyond a part of its requests. One
+// that hears no other takes them for dead; they take their shares all the same.
+func TestADaemonThatIsCutOffRetriesNoMoreThanItsShare(t *testing.T) {
+	inWorldOf(t, 4, linked, func(w *world) {
+		for n := range 40 { // enough that none is left out for its failures
+			w.runner(plain, "a", fmt.Sprint("i-", n), 0)
+		}
+		w.links["daemon-0"].Cut(peerPort)
+		time.Sleep(8 * time.Second)
+		for _, r := range w.runners {
+			r.SetFault(standin.RunnerFault{Fail: true})
+		}
+		const asked = 40
+		for n := range asked {
+			a := w.ask(0, http.MethodGet, "/read/", fmt.Sprint("id-", n))
+			assert.NotEqual(t, http.StatusOK, a.status)
+		}
+		ran := 0
+		for _, r := range w.runners {
+			ran += len(r.Ran())
+		}
+		assert.Positive(t, ran)
+		// A fifth of the requests, and a quarter of 0.6 of 56.
+		assert.LessOrEqual(t, ran, asked+asked/5+9)
+	})
+}
--- a/entry/flow.go
+++ b/entry/flow.go
@@ -104,15 +104,21 @@
 	Unheard      bool // it has started anew and has not heard yet what others admit
 }
 
+// Sharers returns how many daemons a limit is divided among: those that are not heard
+// use their parts all the same.
+func (f Fleet) Sharers() int {
+	if !f.Counted {
+		return max(f.Known, assumedFleet)
+	}
+	return max(f.Known, 1)
+}
+
 // LimitShare returns the part of a limit over all daemons that one may use: as
 // much as it hears of them, and its own part alone while it hears nobody. Each of
 // 77 daemons that were killed together took the whole limit for its own until it
 // heard the others: a team got 15.9 million tokens in 8 s, of 13.6 million allowed.
 func (f Fleet) LimitShare() float64 {
-	known := max(f.Known, 1)
-	if !f.Counted {
-		known = max(known, assumedFleet)
-	}
+	known := f.Sharers()
 	alive := max(f.Alive, 1)
 	if f.CutOff || !f.Counted || f.Unheard && known > fullMesh {
 		alive = 1
