entry: an entry that has changed and changed back is told to others again

Its version stayed that of its first reading, so that a daemon which had heard of the change by another way was not told that it was taken back.

--- a/entry/runners.go
+++ b/entry/runners.go
@@ -100,6 +100,9 @@
 		}
 		if old, ok := k.rows[row.Key]; ok && bytes.Equal(old.value, row.Value) {
 			there[row.Key] = true
+			if !whole {
+				k.rows[row.Key] = heldRow{old.value, version} // it has changed and changed back
+			}
 			continue
 		}
 		r, err := platform.ReadRunner(row)
