entry: an outage is attested by whoever was asked lately, not by fixed daemons

TestAnOutageOfTheStoreIsRiddenOutByAll failed once in three runs of the whole package under the race detector (24 daemons, busy store: refusals 2.95 s in). Suspected: a change of a zone's reader put a daemon among the witnesses that had not been asked yet. Any daemon that holds something young now speaks against an outage, whoever it is.

--- a/entry/outage.go
+++ b/entry/outage.go
@@ -78,21 +78,24 @@
 	OfList    Horizon = func(w Word) time.Time { return w.Listed }
 )
 
-// Certain reports whether the store fails everybody: each of the daemons asked has
-// said so or is silent, and one at least has said so. Whoever holds something
-// younger than bound speaks against it, whatever it says.
-func (o *Outage) Certain(now time.Time, asked []string, of Horizon, bound time.Duration) bool {
+// Certain reports whether the store fails everybody: so many daemons as are needed
+// have been asked lately, each has said so or is silent, and one at least has said so.
+// Whoever holds something younger than bound speaks against it, whatever it says.
+func (o *Outage) Certain(now time.Time, need int, of Horizon, bound time.Duration) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	failing := false
-	for _, name := range asked {
-		w, ok := o.words[name]
-		if !ok || now.Sub(w.Asked) > wordLife || now.Sub(of(w)) <= bound {
+	asked, failing := 0, false
+	for _, w := range o.words {
+		if now.Sub(w.Asked) > wordLife {
+			continue
+		}
+		if now.Sub(of(w)) <= bound {
 			return false
 		}
+		asked++
 		failing = failing || w.Reader == ReaderFailing
 	}
-	return failing
+	return failing && asked >= need
 }
 
 // Witnesses returns the daemons that one asks whether the store fails everybody: the
@@ -123,7 +126,7 @@
 	if d.only(held) {
 		return d.feedsDown.Load() > 0
 	}
-	return d.outage.Certain(now, d.witnesses(), of, bound)
+	return d.outage.Certain(now, min(witnesses, len(d.others())), of, bound)
 }
 
 // catalogCurrent reports whether requests may be admitted by a catalog of an age: it
--- a/entry/outage_test.go
+++ b/entry/outage_test.go
@@ -178,14 +178,13 @@
 
 func TestAnOutageIsCertainByOthersWord(t *testing.T) {
 	const bound = 2 * time.Second
-	asked := []string{"a", "b"}
 	now := time.Now()
 	old, young := now.Add(-3*time.Second), now.Add(-time.Second)
 	var o entry.Outage
 	hear := func(name string, r entry.ReaderWord, after time.Duration, catalog, listed time.Time) {
 		o.Hear(name, entry.Word{Reader: r, Asked: now.Add(after), Catalog: catalog, Listed: listed})
 	}
-	certain := func(of entry.Horizon) bool { return o.Certain(now, asked, of, bound) }
+	certain := func(of entry.Horizon) bool { return o.Certain(now, 2, of, bound) }
 	assert.False(t, certain(entry.OfList), "nobody has been heard")
 	hear("a", entry.ReaderFailing, 0, old, old)
 	assert.False(t, certain(entry.OfList), "one has not been heard")
@@ -200,9 +199,12 @@
 	assert.True(t, certain(entry.OfList))
 	hear("b", entry.ReaderWell, 0, young, young)
 	assert.True(t, certain(entry.OfList), "the answer to an older question")
+	hear("c", entry.ReaderWell, 0, young, young)
+	assert.False(t, certain(entry.OfList), "whoever holds something young speaks against it")
+	hear("c", entry.ReaderWell, time.Millisecond, old, old)
 	hear("a", entry.ReaderSilent, 4*time.Millisecond, time.Time{}, time.Time{})
 	hear("b", entry.ReaderSilent, 4*time.Millisecond, time.Time{}, time.Time{})
 	assert.False(t, certain(entry.OfList), "silence may be this daemon's own link")
 	hear("a", entry.ReaderFailing, 5*time.Millisecond, old, old)
-	assert.False(t, o.Certain(now.Add(bound), asked, entry.OfList, bound), "words are believed for 1.35 s")
+	assert.False(t, o.Certain(now.Add(bound), 2, entry.OfList, bound), "words are believed for 1.35 s")
 }
