--- a/entry/stop.go
+++ b/entry/stop.go
@@ -28,7 +28,8 @@
 	d.judgeReady(began)
 	d.inbound.Drain()
 	d.inbound.CloseIdle(began)
-	d.run(func() { d.duties.release(ctx) }) // it may have a call under way
+	freeing := ctx
+	d.run(func() { d.duties.release(freeing) }) // it may have a call under way
 	ctx, cancel := context.WithDeadline(ctx, began.Add(d.Site().Bounds.Grace-stopMargin))
 	defer cancel()
 	unready, cancelWait := context.WithTimeout(ctx, unreadyWait)
