--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -27,6 +27,8 @@
 	NoLength  bool   // answers without a length, and closes the connection
 	CutAnswer bool   // breaks a whole answer off
 	Lie       bool   // runs one request in ten and says that it did not
+	FailEach  int    // runs each so many-th request and answers 500; 0 for none
+	Slower    int    // takes so many times as long; 0 for as usual
 	CrashOn   string // ends, with all that it runs, when it begins a request whose body holds this; empty for never
 }
 
@@ -39,6 +41,7 @@
 	Header   http.Header
 	Left     bool // the caller left while it ran
 	Instance string
+	At       time.Time
 }
 
 // Runner is a stand-in of the users' platform's endpoints: a plain service, or
@@ -46,6 +49,7 @@
 type Runner struct {
 	Instance string
 	Born     int64          // Unix milliseconds of its start; 0 for one that does not say
+	Version  string         // of its software; empty for v1
 	Events   int            // of a stream; 0 for a plain service
 	Pace     time.Duration  // between two events, or of a plain call
 	ByPath   map[string]int // events by the path's beginning, where they differ; nil for Events alone
@@ -97,6 +101,9 @@
 		"service": service, "address": address, "zone": zone, "state": state, "slots": 8, "sequence": 1,
 		"version": "v1", "cold_remaining_ms": 0,
 	}
+	if r.Version != "" {
+		e["version"] = r.Version
+	}
 	if r.Born > 0 {
 		e["born"] = r.Born
 	}
@@ -126,7 +133,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	at := r.begin(Ran{ID: id, Method: q.Method, Target: q.RequestURI, Body: string(body), Header: q.Header.Clone(), Instance: r.Instance})
+	at := r.begin(Ran{ID: id, Method: q.Method, Target: q.RequestURI, Body: string(body), Header: q.Header.Clone(), Instance: r.Instance, At: time.Now()})
 	if f.Lie && at%10 == 9 {
 		h.Set("Streambend-Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -141,7 +148,7 @@
 		<-q.Context().Done()
 		r.left(at)
 		return
-	case f.Fail:
+	case f.Fail, f.FailEach > 0 && at%f.FailEach == 0:
 		w.WriteHeader(http.StatusInternalServerError)
 		fmt.Fprint(w, "failed")
 		return
@@ -152,10 +159,15 @@
 		r.stream(w, q, f, at, n)
 		return
 	}
-	time.Sleep(r.Pace)
+	time.Sleep(f.paced(r.Pace))
 	r.whole(w, f, "answer to "+id)
 }
 
+// paced returns how long something takes that takes a time as usual.
+func (f RunnerFault) paced(usual time.Duration) time.Duration {
+	return time.Duration(max(f.Slower, 1)) * usual
+}
+
 func (r *Runner) begin(x Ran) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -216,7 +228,7 @@
 		case <-q.Context().Done():
 			r.left(at)
 			return
-		case <-time.After(r.Pace):
+		case <-time.After(f.paced(r.Pace)):
 		}
 		fmt.Fprintf(w, "id: %d\ndata: event %d\n\n", i, i)
 		flush.Flush()
