entry, request, platform: a service moves to the version that its operator orders

Orders are rows of the operator's table and pass with the configuration; a version that nobody has ordered gets nothing. The answers of both versions are counted in the tallies, by route and, of the new one, by endpoint. Readers, or all of few daemons, judge them, and a roll-back is told to all without the store; the holder of the duties writes row and status in one transaction on condition of the row as read. A daemon that hears nobody sends nothing to a version on trial.

--- a/code/code.go
+++ b/code/code.go
@@ -53,6 +53,7 @@
 	CostBound      Code = 2008
 	StoreDown      Code = 2009
 	OutcomeUnclear Code = 2010
+	BadOrder       Code = 2011
 
 	BadSettings   Code = 3001
 	UnknownField  Code = 3002
@@ -125,6 +126,7 @@
 	{CostBound, "cost-bound", http.StatusUnprocessableEntity, NotRun, "The target cannot be met under the cost bound."},
 	{StoreDown, "store-down", http.StatusServiceUnavailable, NotRun, "The platform's table cannot be reached; nothing was changed."},
 	{OutcomeUnclear, "outcome-unclear", http.StatusBadGateway, RanUnknown, "The table's answer was lost; confirm again, twice is one change."},
+	{BadOrder, "bad-order", http.StatusBadRequest, NotRun, "An order to move a service to a version cannot be read; the one before stays in force."},
 	{BadSettings, "bad-settings", http.StatusBadRequest, NotRun, "A setting has a wrong value."},
 	{UnknownField, "unknown-field", http.StatusBadRequest, NotRun, "A setting's name is not known."},
 	{BadCommand, "bad-command", http.StatusBadRequest, NotRun, "The command line cannot be read."},
--- a/conn/member.go
+++ b/conn/member.go
@@ -7,6 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"streambend.example/rollout"
 	"streambend.example/version"
 )
 
@@ -96,6 +97,7 @@
 	Freed   int64           `codec:"f,omitempty"` // epoch of the duties' lease whose holder acts no more
 	Sends   []byte          `codec:"x,omitempty"` // prompts sent to engines, in the form of their package
 	Crashes []byte          `codec:"h,omitempty"` // requests under which endpoints crash, likewise
+	Orders  []byte          `codec:"o,omitempty"` // how far orders to move a service to a version have come, likewise
 }
 
 // Tally is what one daemon has counted since its start, and what it runs. The
@@ -108,6 +110,7 @@
 	Back    map[string]int64         `codec:"b,omitempty"` // those of them that were given back; only grows
 	Windows map[int64]map[string]int `codec:"w,omitempty"` // requests of each team begun in a usage window
 	Running map[string]int           `codec:"r,omitempty"` // requests at the endpoints of each service now
+	Trials  map[string]rollout.Tally `codec:"v,omitempty"` // answers of a service's versions while one is rolled out, by order, route and endpoint
 	Part    bool                     `codec:"p,omitempty"` // it holds only the counts that have changed
 }
 
--- a/entry/catalog.go
+++ b/entry/catalog.go
@@ -119,7 +119,8 @@
 // follow keeps up with the store until ctx ends.
 func (k *catalogKeeper) follow(ctx context.Context) {
 	f := feeder{d: k.d, table: platform.CatalogTable, wait: k.wait, name: "catalog"}
-	f.run(ctx, k.at.Load, func(now, sent time.Time, p platform.Page, _ bool) error {
+	f.run(ctx, k.at.Load, func(now, sent time.Time, p platform.Page, whole bool) error {
+		k.d.rollouts.takeRows(now, p.Rows, whole)
 		if row, ok := platform.CatalogRow(p.Rows); ok {
 			if err := k.adopt(row.Value, "store"); err != nil {
 				return err
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -51,22 +51,23 @@
 	Server *request.Server
 	Hub    *conn.Hub
 
-	network seam.Network
-	without mechanism.Set
-	site    atomic.Pointer[platform.Site]
-	log     *logrus.Logger
-	store   *platform.Store
-	table   *platform.Table
-	cloud   *platform.Cloud
-	catalog catalogKeeper
-	runners runnerKeeper
-	tallies *Tallies
-	quotas  *Quotas
-	flow    FlowReader
-	sends   sendQueue
-	duties  *duties
-	meters  *meters
-	outside *http.Client // towards store and cloud
+	network  seam.Network
+	without  mechanism.Set
+	site     atomic.Pointer[platform.Site]
+	log      *logrus.Logger
+	store    *platform.Store
+	table    *platform.Table
+	cloud    *platform.Cloud
+	catalog  catalogKeeper
+	runners  runnerKeeper
+	tallies  *Tallies
+	quotas   *Quotas
+	flow     FlowReader
+	sends    sendQueue
+	duties   *duties
+	rollouts rolloutKeeper
+	meters   *meters
+	outside  *http.Client // towards store and cloud
 
 	inbound    conn.Connections // of callers
 	accepting  net.Listener     // for callers
@@ -118,6 +119,7 @@
 	d.cloud = platform.NewCloud(site.Cloud, d.outside)
 	d.catalog.d = d
 	d.runners = newRunnerKeeper(d)
+	d.rollouts = newRolloutKeeper(d)
 	d.tallies = NewTallies(d.Self)
 	d.sends.wake = make(chan struct{}, 1)
 	d.Server = request.NewServer(d.options(), conn.NewClient(n, defaultBody), nil, nil, log)
@@ -143,6 +145,7 @@
 	o.NoLimit = true
 	o.RouteWait = comeBack
 	o.Listed = d.listed
+	o.Trials = &d.rollouts
 	o.Without = d.without
 	o.Homes = d.many
 	o.Holds = d.holdShare()
@@ -261,10 +264,13 @@
 	d.run(func() { d.syncMembers(d.ctx) })
 	d.run(func() { d.loadHolds(d.ctx) })
 	d.every(holdsAgain, d.Server.Holds.Again)
+	d.every(holdsAgain, d.rollouts.again)
+	d.every(judgePeriod, d.rollouts.judge)
 	d.every(tickPeriod, func(now time.Time) {
 		d.noteSleep()
 		d.Server.Works.Tick(now, len(d.Hub.Mesh.Members()))
 		d.runners.tick(now)
+		d.rollouts.tick(now)
 		d.observeDay(now)
 		d.judgeCutOff(now)
 		d.contact.noteAlone(now, len(d.Hub.Mesh.Members()) < 2)
@@ -302,6 +308,7 @@
 		d.duties.hearFreed(in.Payload.Freed)
 	}
 	d.Server.Holds.Take(now, in.From, in.Payload)
+	d.rollouts.take(now, in.From, in.Payload.Orders)
 	if len(in.Payload.Sends) > 0 {
 		d.hearSends(now, in)
 	}
--- a/entry/duties.go
+++ b/entry/duties.go
@@ -53,12 +53,13 @@
 
 // duties are the calls that one daemon at a time makes.
 type duties struct {
-	d     *Daemon
-	gate  gate // over the lease and what follows from it: a planned stop gives it up from outside
-	calls gate // over a call under the lease, which must be over before that is freed
-	lease version.Lease
-	usage usageDuty
-	scale scaleDuty
+	d       *Daemon
+	gate    gate // over the lease and what follows from it: a planned stop gives it up from outside
+	calls   gate // over a call under the lease, which must be over before that is freed
+	lease   version.Lease
+	usage   usageDuty
+	scale   scaleDuty
+	rollout rolloutDuty
 
 	held    bool
 	failing time.Time // since when renewals fail; zero while they do not
@@ -74,6 +75,7 @@
 	x := &duties{d: d, gate: newGate(), calls: newGate(), lease: version.Lease{Shard: dutyShard, Self: instanceOf(d.Self), Term: dutyTerm, Margin: dutyMargin}, began: clock.Now()}
 	x.usage = usageDuty{d: d, done: make(map[int64]bool)}
 	x.scale = newScaleDuty(d)
+	x.rollout = rolloutDuty{d: d}
 	return x
 }
 
@@ -174,6 +176,7 @@
 		x.actFrom = x.mayAlternate(before.Holder)
 		x.usage.begin(clock.Now())
 		x.scale.begin()
+		x.rollout.begin()
 		x.d.log.WithFields(fields).Infof("lease taken, held before by %q", before.Holder)
 	}
 	if err != nil && held {
@@ -272,6 +275,7 @@
 }
 
 func (x *duties) act(ctx context.Context) {
+	x.rollout.step(ctx, x)
 	if x.d.Site().Duties.Usage {
 		x.usage.step(ctx, x)
 	}
--- a/entry/meters.go
+++ b/entry/meters.go
@@ -12,6 +12,7 @@
 	"streambend.example/clock"
 	"streambend.example/code"
 	"streambend.example/conn"
+	"streambend.example/rollout"
 )
 
 // meters are the daemon's counters and histograms.
@@ -67,6 +68,13 @@
 	metrics.GetOrRegisterCounter("endpoints.left_out."+reason, m.registry).Inc(1)
 }
 
+// tried counts an answer of one of the versions of a service that is rolled out: old or new.
+func (m *meters) tried(service, side string, t rollout.Tally) {
+	name := "rollout." + service + "." + side
+	metrics.GetOrRegisterCounter(name+".answers", m.registry).Inc(t.Whole)
+	metrics.GetOrRegisterCounter(name+".bad", m.registry).Inc(t.Bad)
+}
+
 // counted is a transport that counts calls by the last word of their path.
 type counted struct {
 	http.RoundTripper
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -72,6 +72,7 @@
 	Listed  time.Duration `codec:"l"`           // age of the answerer's list of endpoints
 	Entries []entryRow    `codec:"e,omitempty"` // the endpoints that have changed since the asker's version
 	Whole   bool          `codec:"h,omitempty"` // they are all endpoints
+	Orders  []orderWord   `codec:"o,omitempty"` // to move services to a version, as of the catalog
 	Daemons int           `codec:"n,omitempty"` // how many daemons the answerer knows of; 0 until it has counted them
 
 	Source string           `codec:"s,omitempty"` // the answerer's start
@@ -288,6 +289,7 @@
 
 // takeFresh takes an answer in, and reports whether more of its catalog is to come.
 func (d *Daemon) takeFresh(sent time.Time, name string, a freshAnswer) (more bool) {
+	d.rollouts.hearAll(sent, a.At, a.Orders)
 	if a.Piece == nil {
 		c := d.catalog.get()
 		more = !a.Fetched && (c == nil || c.Version < a.Catalog)
@@ -348,6 +350,7 @@
 		return conn.Marshal(a), nil
 	}
 	a.Known, a.Failing, a.Age, a.Listed, a.Catalog = true, d.feedsDown.Load() > 0, age, listed, f.catalog.Version
+	a.Orders = d.rollouts.words(now, true)
 	a.Fetched = q.Fetch
 	if q.Fetch && a.Catalog > q.Catalog {
 		var err error
--- /dev/null
+++ b/entry/rolloutduty.go
@@ -0,0 +1,214 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"streambend.example/capacity"
+	"streambend.example/clock"
+	"streambend.example/platform"
+	"streambend.example/rollout"
+	"streambend.example/version"
+)
+
+// rolloutTable is the store's table of how far orders to move a service to a version have come.
+const rolloutTable = "streambend-rollout"
+
+// rolloutRow is the value of a service's row. Whoever holds the duty writes it, with the
+// operator's status beside it in one transaction, on condition of the row as it was read: so there
+// is one end, and a holder whose lease is over without its knowing writes nothing.
+type rolloutRow struct {
+	Number int64         `json:"order"`
+	Target string        `json:"target"`
+	Stage  rollout.Stage `json:"stage"`
+	Own    []string      `json:"own"`
+	Epoch  int64         `json:"epoch"` // of the holder's lease
+	Why    string        `json:"why,omitempty"`
+}
+
+// rolloutDuty ends orders. It goes by what the table says, not by what this daemon remembers.
+type rolloutDuty struct {
+	d    *Daemon
+	rows map[string]heldRollout // as last read or written
+}
+
+// heldRollout is a row and the store's version of it, 0 for one that is not there.
+type heldRollout struct {
+	rolloutRow
+	version int64
+}
+
+// begin starts a term.
+func (x *rolloutDuty) begin() { x.rows = make(map[string]heldRollout) }
+
+// step looks at each order that has not ended, or whose end the operator may not know yet.
+func (x *rolloutDuty) step(ctx context.Context, u *duties) {
+	for _, service := range x.d.rollouts.ordered() {
+		if err := x.service(ctx, u, service); err != nil {
+			x.d.log.WithFields(logrus.Fields{"part": "rollout", "service": service}).Warnf("order not looked at: %v", err)
+		}
+	}
+}
+
+func (x *rolloutDuty) service(ctx context.Context, u *duties, service string) error {
+	row, read := x.rows[service]
+	state, fact, own, ok := x.d.rollouts.state(clock.Now(), service)
+	if !ok {
+		return nil
+	}
+	if !read {
+		var err error
+		if row, err = x.read(ctx, service); err != nil {
+			return err
+		}
+		x.rows[service] = row
+	}
+	if row.Number > fact.Number {
+		return nil // of an order that has not come here yet
+	}
+	if row.Number == fact.Number && row.Stage.Ended() {
+		x.d.rollouts.learn(clock.Now(), service, row.fact())
+		return nil
+	}
+	next := rolloutRow{Number: fact.Number, Target: fact.Target, Own: own, Stage: rollout.Watching}
+	if row.Number == fact.Number {
+		state.Stage = row.Stage
+		next.Own = row.Own
+		next.Stage, next.Why = rollout.Next(clock.Now(), state)
+	} else {
+		next.Own = row.ownAfter(own)
+		if x.present(fact.Target, next.Own) {
+			next.Stage, next.Why = rollout.Completed, "it is the service's version already"
+		}
+	}
+	if fact.Stage == rollout.RolledBack {
+		next.Stage, next.Why = rollout.RolledBack, fact.Why
+	}
+	if row.Number == next.Number && row.Stage == next.Stage {
+		x.d.rollouts.learn(clock.Now(), service, row.fact())
+		return nil
+	}
+	return x.write(ctx, u, service, row, next)
+}
+
+// present reports whether a version is the only one that the service has.
+func (x *rolloutDuty) present(target string, own []string) bool {
+	return len(own) == 1 && own[0] == target
+}
+
+// ownAfter returns the versions that are the service's own after the row's order, if it tells.
+func (r rolloutRow) ownAfter(found []string) []string {
+	switch {
+	case r.Stage == rollout.Completed:
+		return []string{r.Target}
+	case len(r.Own) > 0:
+		return r.Own
+	}
+	return found
+}
+
+func (r rolloutRow) fact() rollout.Fact {
+	return rollout.Fact{Number: r.Number, Target: r.Target, Stage: r.Stage, Why: r.Why}
+}
+
+func (x *rolloutDuty) read(ctx context.Context, service string) (h heldRollout, err error) {
+	ctx, cancel := context.WithTimeout(ctx, answerLimit)
+	defer cancel()
+	r, _, ok, err := x.d.store.Row(ctx, rolloutTable, "", service)
+	if err != nil || !ok {
+		return h, err
+	}
+	h.version = r.Version
+	return h, errors.Wrapf(json.Unmarshal(r.Value, &h.rolloutRow), "entry: roll-out of %s", service)
+}
+
+// write writes the next row and the operator's status. Whatever comes of it is read before the
+// next look: an answer that is lost may have been done.
+func (x *rolloutDuty) write(ctx context.Context, u *duties, service string, row heldRollout, next rolloutRow) error {
+	f, until, ok := u.mayAct(clock.Now())
+	if !ok {
+		return nil
+	}
+	next.Epoch = f.Token
+	value, err := json.Marshal(next)
+	if err != nil {
+		return errors.Wrap(err, "entry: roll-out")
+	}
+	status, err := platform.StatusRow(service, next.Target, next.Stage)
+	if err != nil {
+		return err
+	}
+	delete(x.rows, service)
+	ctx, cancel := context.WithTimeout(ctx, min(answerLimit, until.Sub(clock.Now())))
+	defer cancel()
+	_, err = x.d.store.Apply(ctx, platform.Change{
+		If:    []platform.Condition{{Table: rolloutTable, Key: service, Version: row.version}},
+		Write: []platform.Row{{Table: rolloutTable, Key: service, Value: value}, status},
+	})
+	if err != nil {
+		return err
+	}
+	x.d.log.WithFields(logrus.Fields{
+		"part": "rollout", "service": service, "target": next.Target, "order": next.Number, "stage": next.Stage.String(), "epoch": next.Epoch, "why": next.Why,
+	}).Info("status of an order written")
+	x.d.rollouts.decided(clock.Now(), service, next.fact())
+	return nil
+}
+
+// state returns what the holder decides by. Of a service with several versions of its own the order
+// is for one of them all the same.
+func (k *rolloutKeeper) state(now time.Time, service string) (s rollout.State, f rollout.Fact, own []string, ok bool) {
+	c := k.d.catalog.get()
+	if c == nil || !c.Names(service) {
+		return s, f, nil, false
+	}
+	pool := k.d.work(service).Pool
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v := k.known[service]
+	if v == nil || v.order.Number == 0 {
+		return s, f, nil, false
+	}
+	s = rollout.State{
+		Span: v.span(), Finding: v.finding, Ready: pool.Ready(rollout.Trial), Enough: k.enough(service, pool.Ready(rollout.Own)),
+		Busy: k.d.tallies.Running(now, oldKey(pool.Service)), IdleFrom: v.idle, Since: v.since, Gone: v.gone,
+	}
+	return s, v.fact, v.own, true
+}
+
+// enough returns how many endpoints the new version needs before it gets all requests.
+func (k *rolloutKeeper) enough(service string, old int) int {
+	c := k.d.catalog.get()
+	b, ok := c.Backend[service]
+	if !ok || b.Scaling == nil {
+		return max(1, old)
+	}
+	return max(1, min(old, k.d.duties.scale.enough(b)))
+}
+
+// enough returns how many endpoints serve what is asked of a service.
+func (x *scaleDuty) enough(b version.Backend) int {
+	w := x.demand[b.Name]
+	if w == nil || !w.Seen {
+		return 0
+	}
+	return capacity.Enough(x.load(b, w))
+}
+
+// decided takes over what this daemon has written as the holder of the duty, and tells all.
+func (k *rolloutKeeper) decided(now time.Time, service string, f rollout.Fact) {
+	k.mu.Lock()
+	v := k.of(service)
+	fresh := k.advance(now, service, v, f)
+	o, heard := v.order, v.heard
+	k.mu.Unlock()
+	if fresh {
+		k.tellAll(service, o, heard, f)
+	}
+}
--- /dev/null
+++ b/entry/rollouts.go
@@ -0,0 +1,435 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"streambend.example/clock"
+	"streambend.example/platform"
+	"streambend.example/request"
+	"streambend.example/rollout"
+)
+
+const (
+	// judgePeriod is how often the answers of a version that is rolled out are looked at; what
+	// other daemons have counted comes every 150 to 450 ms.
+	judgePeriod = 250 * time.Millisecond
+	// orderLife is how old the last word of another daemon on orders may be for requests to go to
+	// a version on trial: such words come each second, and a version that has been rolled back
+	// may get nothing from 5 s after its 50th bad answer on.
+	orderLife = 2500 * time.Millisecond
+	// trialLeast is how many endpoints a version on trial uses at least, so that the fault of
+	// one is not taken for the version's.
+	trialLeast = 2
+)
+
+// rolloutKeeper keeps, for each service, which versions may get requests and how far an order to
+// move it to another version has come. It implements request.Trials.
+type rolloutKeeper struct {
+	d      *Daemon
+	active atomic.Int32 // orders that have not ended, so that requests are free of all this without one
+
+	mu    sync.Mutex
+	known map[string]*serviceVersions
+	word  time.Time // when another daemon has last told of orders
+}
+
+// serviceVersions is what is known of a service's versions. The order's fields are empty while
+// there is none.
+type serviceVersions struct {
+	own     []string // found, or taken over from an order; nil while not known
+	order   rollout.Order
+	heard   time.Time // the order was written by then
+	fact    rollout.Fact
+	since   time.Time // when its stage was reached here
+	gone    bool      // the order was withdrawn, and Fact may not say so yet
+	share   *rollout.Bucket
+	test    *rollout.Voices
+	finding rollout.Finding
+	idle    time.Time // since when the old version has nothing to do; zero while it has
+	usual   map[string]*usualTime
+}
+
+func newRolloutKeeper(d *Daemon) rolloutKeeper {
+	return rolloutKeeper{d: d, known: make(map[string]*serviceVersions)}
+}
+
+// running reports whether an order has not ended.
+func (v *serviceVersions) running() bool { return v.order.Number != 0 && !v.fact.Stage.Ended() }
+
+func (v *serviceVersions) standing() rollout.Standing {
+	return rollout.Standing{Own: v.own, Fact: v.fact, Order: v.order.Number != 0}
+}
+
+func (v *serviceVersions) span() rollout.Span {
+	return rollout.Span{Stage: v.fact.Stage, Deadline: v.heard.Add(v.order.For)}
+}
+
+// of returns what is kept of a service; the caller holds the lock.
+func (k *rolloutKeeper) of(service string) *serviceVersions {
+	v := k.known[service]
+	if v == nil {
+		v = &serviceVersions{}
+		k.known[service] = v
+	}
+	return v
+}
+
+// Take implements request.Trials.
+func (k *rolloutKeeper) Take(now time.Time, a request.TrialAsk) bool {
+	if k.active.Load() == 0 {
+		return false
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v := k.known[a.Service]
+	return v != nil && v.running() && v.share.Take(now, v.span(), a.Ask) && k.current(now)
+}
+
+// Return implements request.Trials.
+func (k *rolloutKeeper) Return(a request.TrialAsk) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if v := k.known[a.Service]; v != nil && v.share != nil {
+		v.share.Return(a.Ask)
+	}
+}
+
+// Still implements request.Trials.
+func (k *rolloutKeeper) Still(now time.Time, service string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v := k.known[service]
+	return v != nil && (v.fact.Stage == rollout.Watching || v.fact.Stage == rollout.Shifting) && k.current(now)
+}
+
+// current reports whether a roll-back would have been heard of here: by the words of others, or as
+// there are none. The caller holds the lock.
+func (k *rolloutKeeper) current(now time.Time) bool {
+	f := k.d.fleet()
+	return f.Counted && f.Known < 2 || now.Sub(k.word) < orderLife
+}
+
+// Note implements request.Trials.
+func (k *rolloutKeeper) Note(now time.Time, a request.TrialAnswer) {
+	if k.active.Load() == 0 {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v := k.known[a.Service]
+	if v == nil || !v.running() {
+		return
+	}
+	isNew := a.Version == v.order.Target
+	slow := v.slow(a, isNew)
+	t := rollout.Tally{Whole: 1}
+	if a.Failed || a.Silent || slow {
+		t.Bad = 1
+	}
+	endpoint, side := "", "old"
+	if isNew {
+		endpoint, side = a.Endpoint, "new"
+	}
+	k.d.tallies.Try(v.order.Number, a.Route, endpoint, t)
+	k.d.meters.tried(a.Service, side, t)
+}
+
+// usualTime is how long answers of the old version take on a route, beside what is expected of
+// each.
+type usualTime struct {
+	times float64 // as a multiple of what is expected
+	gap   float64 // seconds between two events
+	seen  int
+}
+
+const (
+	// slowTimes is from how many times the usual on an answer counts as slow: a version that is
+	// slower by several times passes it with nearly each answer, one of the old version with
+	// one in thirty (lognormal times of a spread of 0.3).
+	slowTimes = 1.75
+	// usualWeight is the weight of one answer in what is usual, and usualLeast how many answers
+	// make it known.
+	usualWeight = 0.05
+	usualLeast  = 5
+	// expectLeast is what an answer is expected to take at least.
+	expectLeast = 5 * time.Millisecond
+)
+
+// slow reports whether an answer took several times as long as the old version's do, and learns
+// from those.
+func (v *serviceVersions) slow(a request.TrialAnswer, isNew bool) bool {
+	if v.usual == nil {
+		v.usual = make(map[string]*usualTime)
+	}
+	u := v.usual[a.Route]
+	if u == nil {
+		u = &usualTime{}
+		v.usual[a.Route] = u
+	}
+	if a.Failed || a.Silent {
+		return false
+	}
+	expected := max(a.Expected, expectLeast).Seconds()
+	if a.Events > 1 {
+		expected += float64(a.Events-1) * u.gap
+	}
+	times := a.Took.Seconds() / expected
+	slow := u.seen >= usualLeast && times > slowTimes*u.times
+	if isNew {
+		return slow
+	}
+	weight := math.Max(usualWeight, 1/float64(u.seen+1))
+	u.seen++
+	if a.Events > 1 {
+		u.gap += weight * ((a.Took-a.First).Seconds()/float64(a.Events-1) - u.gap)
+	}
+	u.times += weight * (math.Min(times, 3*math.Max(u.times, 1)) - u.times)
+	return slow
+}
+
+// order takes in an order that was written by a time, and how far it has come as far as the teller
+// knows.
+func (k *rolloutKeeper) order(now, written time.Time, o rollout.Order, fact rollout.Fact) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v := k.of(o.Service)
+	if o.Number == v.order.Number {
+		if written.Before(v.heard) {
+			v.heard = written
+		}
+		k.advance(now, o.Service, v, fact)
+		return
+	}
+	if o.Number < v.order.Number {
+		return
+	}
+	if v.fact.Stage == rollout.Completed {
+		v.own = []string{v.fact.Target}
+	}
+	cap := k.d.Site().Bounds.Untried
+	v.order, v.heard, v.gone, v.since = o, written, false, now
+	v.fact = rollout.Fact{Number: o.Number, Target: o.Target}
+	v.share, v.test = &rollout.Bucket{Cap: cap, Lead: k.lead()}, &rollout.Voices{}
+	v.finding, v.idle, v.usual = rollout.Finding{}, time.Time{}, nil
+	k.d.log.WithFields(logrus.Fields{
+		"part": "rollout", "service": o.Service, "target": o.Target, "order": o.Number, "for_ms": o.For.Milliseconds(),
+		"age_ms": now.Sub(written).Milliseconds(), "own": v.own,
+	}).Info("order to move a service to a version")
+	k.advance(now, o.Service, v, fact)
+	k.apply(o.Service, v)
+}
+
+// lead is what this daemon's share of an untried version begins with.
+func (k *rolloutKeeper) lead() float64 {
+	return float64(daemonNumber(k.d.Self.Name)) / float64(math.MaxUint32+1)
+}
+
+// learn takes in how far an order has come, and reports whether that is news.
+func (k *rolloutKeeper) learn(now time.Time, service string, f rollout.Fact) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.advance(now, service, k.of(service), f)
+}
+
+// advance moves on to what a fact says; the caller holds the lock.
+func (k *rolloutKeeper) advance(now time.Time, service string, v *serviceVersions, f rollout.Fact) bool {
+	next := v.fact.Merge(f)
+	if f.Number != v.order.Number || next.Stage == v.fact.Stage {
+		return false
+	}
+	k.d.log.WithFields(logrus.Fields{
+		"part": "rollout", "service": service, "target": f.Target, "order": f.Number, "stage": next.Stage.String(),
+		"before": v.fact.Stage.String(), "after_ms": now.Sub(v.heard).Milliseconds(), "why": next.Why,
+	}).Info("order has moved on")
+	v.fact, v.since = next, now
+	if next.Stage == rollout.Completed {
+		v.own = []string{next.Target}
+	}
+	k.apply(service, v)
+	return true
+}
+
+// apply brings the service's endpoints in line; the caller holds the lock.
+func (k *rolloutKeeper) apply(service string, v *serviceVersions) {
+	running := int32(0)
+	for _, x := range k.known {
+		if x.running() {
+			running++
+		}
+	}
+	k.active.Store(running)
+	pool := k.d.work(service).Pool
+	pool.Rule(v.standing(), v.used(pool))
+}
+
+// used returns how many endpoints of a version on trial take requests; 0 for all. A few get as many
+// requests each as those of the old version do, so that what they answer tells of load as well.
+func (v *serviceVersions) used(pool *request.Pool) int {
+	if v.fact.Stage != rollout.Watching {
+		return 0
+	}
+	old := pool.Ready(rollout.Own)
+	return max(trialLeast, int(math.Ceil(v.share.Cap.Share*float64(old))))
+}
+
+// tick brings what changes by time alone up to date.
+func (k *rolloutKeeper) tick(now time.Time) {
+	c := k.d.catalog.get()
+	if c == nil || !k.d.runners.known() {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for name := range c.Backend {
+		v := k.of(name)
+		pool := k.d.work(name).Pool
+		if v.own == nil {
+			found := pool.Versions()
+			if v.order.Number != 0 {
+				delete(found, v.order.Target)
+			}
+			if v.own = rollout.OwnOf(found); v.own == nil {
+				continue
+			}
+			k.d.log.WithFields(logrus.Fields{"part": "rollout", "service": name, "own": v.own}).Info("versions that are the service's own")
+			k.apply(name, v)
+			continue
+		}
+		if v.running() {
+			k.apply(name, v)
+			k.noteIdle(now, name, v)
+		}
+	}
+}
+
+// noteIdle follows since when the old version has nothing to do, over all daemons.
+func (k *rolloutKeeper) noteIdle(now time.Time, name string, v *serviceVersions) {
+	busy := k.d.tallies.Running(now, oldKey(k.d.work(name).Pool.Service))
+	switch {
+	case busy > 0:
+		v.idle = time.Time{}
+	case v.idle.IsZero():
+		v.idle = now
+	}
+}
+
+// oldKey names the requests at a service's old version among those that daemons run.
+func oldKey(service string) string { return service + "@old" }
+
+// countOld adds what this daemon has at the old versions of services that move to another.
+func (k *rolloutKeeper) countOld(running map[string]int) {
+	if k.active.Load() == 0 {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for name, v := range k.known {
+		if !v.running() {
+			continue
+		}
+		pool := k.d.work(name).Pool
+		if n := pool.InFlightAt(rollout.Own); n > 0 {
+			running[oldKey(pool.Service)] = n
+		}
+	}
+}
+
+// holdsEndpoints reports whether no endpoints of a service are to be given up: while it moves to
+// another version nobody knows which of the two fleets would lose them.
+func (k *rolloutKeeper) holdsEndpoints(service string) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v := k.known[service]
+	return v != nil && v.running()
+}
+
+// judge looks at the answers that have come, and rolls back what is bad: for that neither the
+// table nor the holder of the duty is needed.
+func (k *rolloutKeeper) judge(now time.Time) {
+	if k.active.Load() == 0 || k.d.many() && !k.d.isReader() {
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for name, v := range k.known {
+		if !v.running() {
+			continue
+		}
+		v.finding = v.test.Take(now, k.d.tallies.Trials(v.order.Number))
+		if v.finding.Opinion != rollout.Bad {
+			continue
+		}
+		f := v.fact
+		f.Stage, f.Why = rollout.RolledBack, v.finding.Route+": "+v.finding.Why
+		k.d.log.WithFields(logrus.Fields{"part": "rollout", "service": name, "target": f.Target, "order": f.Number}).Warnf("version is bad: %s", f.Why)
+		if k.advance(now, name, v, f) {
+			go k.tellAll(name, v.order, v.heard, f)
+		}
+	}
+}
+
+// takeRows takes in the operator's orders. Of a whole reading, what is missing was withdrawn.
+func (k *rolloutKeeper) takeRows(now time.Time, rows []platform.Row, whole bool) {
+	there := make(map[string]bool)
+	for _, r := range rows {
+		service, ok := platform.RolloutService(r)
+		if !ok {
+			continue
+		}
+		there[service] = !r.Removed
+		if r.Removed {
+			k.withdraw(service)
+			continue
+		}
+		o, err := platform.ReadRollout(r)
+		if err != nil {
+			k.d.log.WithFields(logrus.Fields{"part": "rollout", "service": service, "version": r.Version}).Warnf("order left out: %v", err)
+			k.d.meters.refused(codeOf(err))
+			continue
+		}
+		k.order(now, now, o, rollout.Fact{})
+	}
+	if !whole {
+		return
+	}
+	for _, service := range k.ordered() {
+		if !there[service] {
+			k.withdraw(service)
+		}
+	}
+}
+
+// ordered returns the services that have an order.
+func (k *rolloutKeeper) ordered() (out []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for name, v := range k.known {
+		if v.order.Number != 0 {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// withdraw notes that the operator has taken an order back: it is rolled back, unless it has ended.
+func (k *rolloutKeeper) withdraw(service string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	v := k.known[service]
+	if v == nil || v.order.Number == 0 || v.gone {
+		return
+	}
+	v.gone = true
+	if v.running() {
+		f := v.fact
+		f.Stage, f.Why = rollout.RolledBack, "withdrawn"
+		k.advance(clock.Now(), service, v, f)
+	}
+}
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -142,7 +142,7 @@
 func (k *runnerKeeper) set(now time.Time, r platform.Runner) {
 	old, known := k.byID[r.ID]
 	fields := logrus.Fields{
-		"part": "endpoints", "endpoint": r.ID, "born": r.Born, "service": r.Service, "zone": r.Zone, "address": r.Address, "reclaimable": r.Reclaimable,
+		"part": "endpoints", "endpoint": r.ID, "born": r.Born, "service": r.Service, "version": r.Version, "zone": r.Zone, "address": r.Address, "reclaimable": r.Reclaimable,
 	}
 	if known && r.Born != 0 && r.Born < old.Born {
 		k.d.log.WithFields(fields).WithField("present", old.Born).Info("entry of an earlier start left out")
@@ -178,8 +178,12 @@
 	}
 	delete(k.unnamed, r.ID)
 	w := k.d.work(r.Service)
+	var slowUntil time.Time
+	if r.SlowFor > 0 {
+		slowUntil = clock.Now().Add(r.SlowFor)
+	}
 	return w.Pool.Add(request.Endpoint{
-		ID: r.ID, Born: r.Born, Service: w.Pool.Service, Zone: r.Zone, Address: r.Address, Reclaimable: r.Reclaimable, Slots: r.Slots,
+		ID: r.ID, Born: r.Born, Service: w.Pool.Service, Version: r.Version, Zone: r.Zone, SlowUntil: slowUntil, Address: r.Address, Reclaimable: r.Reclaimable, Slots: r.Slots,
 		Memory: k.d.memory(r.Service),
 	})
 }
--- a/entry/scale.go
+++ b/entry/scale.go
@@ -17,6 +17,7 @@
 	"streambend.example/clock"
 	"streambend.example/mechanism"
 	"streambend.example/platform"
+	"streambend.example/rollout"
 	"streambend.example/version"
 )
 
@@ -168,7 +169,7 @@
 	now := clock.Now()
 	s.forgetLost(live)
 	for _, o := range x.plan(now, b, s, live, serving) {
-		if !s.due(now, o, live[o.Kind]) {
+		if !s.due(now, o, live[o.Kind]) || x.d.rollouts.holdsEndpoints(b.Name) && o.Count < max(live[o.Kind], s.ordered[o.Kind].count) {
 			continue
 		}
 		if err := x.order(ctx, u, b.Name, s, o, live[o.Kind]); errors.Is(err, errNoLease) {
@@ -300,12 +301,13 @@
 	live, serving = make(map[capacity.Kind]int), make(map[capacity.Kind]int)
 	pool := x.d.work(service).Pool
 	for _, r := range x.d.runners.all() {
-		if r.Service != service || r.Leaving {
-			continue
+		t := pool.Get(r.ID)
+		if r.Service != service || r.Leaving || t != nil && t.Role() != rollout.Own {
+			continue // of a version that is rolled out beside it
 		}
 		k := capacity.Kind{Zone: r.Zone, Reclaimable: r.Reclaimable}
 		live[k]++
-		if t := pool.Get(r.ID); t != nil && (t.Answered() || x.d.runners.listedFor(now, r.ID) >= servingAfter) {
+		if t != nil && (t.Answered() || x.d.runners.listedFor(now, r.ID) >= servingAfter) {
 			serving[k]++
 		}
 	}
--- a/entry/tally.go
+++ b/entry/tally.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"streambend.example/conn"
+	"streambend.example/rollout"
 )
 
 // windowsKept is how many usage windows a tally holds: the one that runs, those
@@ -65,7 +66,7 @@
 func NewTallies(self conn.Member) *Tallies {
 	return &Tallies{
 		since:  self.Start,
-		self:   conn.Tally{Daemon: self.Name, Start: self.Start, Admit: make(map[string]int64), Back: make(map[string]int64), Windows: make(map[int64]map[string]int)},
+		self:   conn.Tally{Daemon: self.Name, Start: self.Start, Admit: make(map[string]int64), Back: make(map[string]int64), Trials: make(map[string]rollout.Tally), Windows: make(map[int64]map[string]int)},
 		others: make(map[daemonStart]heard), flow: make(map[string]map[string]int64), sent: make(map[string]map[daemonStart]uint64),
 	}
 }
@@ -170,7 +171,7 @@
 }
 
 func copyTally(x conn.Tally) conn.Tally {
-	x.Admit, x.Back = maps.Clone(x.Admit), maps.Clone(x.Back)
+	x.Admit, x.Back, x.Trials = maps.Clone(x.Admit), maps.Clone(x.Back), maps.Clone(x.Trials)
 	w := make(map[int64]map[string]int, len(x.Windows))
 	for k, v := range x.Windows {
 		w[k] = maps.Clone(v)
--- a/entry/tallynews.go
+++ b/entry/tallynews.go
@@ -6,6 +6,7 @@
 	"maps"
 
 	"streambend.example/conn"
+	"streambend.example/rollout"
 )
 
 // count names one count of a tally: the requests of a team begun in a usage window, or one
@@ -21,6 +22,7 @@
 const (
 	admitted  = 0  // units of its limit that the team was admitted
 	givenBack = -1 // those of them that were given back
+	tried     = -2 // answers of a version; the key of the count stands in place of the team
 )
 
 // change says when a tally and each of its counts changed last, by the number of the
@@ -55,6 +57,11 @@
 			c.note(edit, count{team, givenBack})
 		}
 	}
+	for key, n := range next.Trials {
+		if old.Trials[key] != n {
+			c.note(edit, count{key, tried})
+		}
+	}
 	for window, teams := range next.Windows {
 		for team, n := range teams {
 			if old.Windows[window][team] != n {
@@ -85,6 +92,7 @@
 	out := conn.Tally{
 		Daemon: x.Daemon, Start: x.Start, Seq: x.Seq, Part: true, Running: x.Running,
 		Admit: make(map[string]int64), Back: make(map[string]int64), Windows: make(map[int64]map[string]int),
+		Trials: make(map[string]rollout.Tally),
 	}
 	for k, at := range c.counts {
 		switch {
@@ -93,6 +101,10 @@
 			out.Admit[k.team] = x.Admit[k.team]
 		case k.window == givenBack:
 			out.Back[k.team] = x.Back[k.team]
+		case k.window == tried:
+			if n, ok := x.Trials[k.team]; ok {
+				out.Trials[k.team] = n
+			}
 		default:
 			if out.Windows[k.window] == nil {
 				out.Windows[k.window] = make(map[string]int)
@@ -121,7 +133,7 @@
 // merged returns a tally with the counts of a newer word on what has changed in it.
 func merged(old, part conn.Tally) conn.Tally {
 	old.Seq, old.Running = part.Seq, part.Running
-	old.Admit, old.Back = added(old.Admit, part.Admit), added(old.Back, part.Back)
+	old.Admit, old.Back, old.Trials = added(old.Admit, part.Admit), added(old.Back, part.Back), added(old.Trials, part.Trials)
 	if old.Windows == nil {
 		old.Windows = make(map[int64]map[string]int)
 	}
@@ -133,7 +145,7 @@
 }
 
 // added returns a map with the entries of another, in place if there is one.
-func added[N int | int64](to, from map[string]N) map[string]N {
+func added[N int | int64 | rollout.Tally](to, from map[string]N) map[string]N {
 	if to == nil {
 		return maps.Clone(from)
 	}
--- a/entry/tallyshare.go
+++ b/entry/tallyshare.go
@@ -52,6 +52,7 @@
 			running[k.Pool.Service] = n
 		}
 	}
+	d.rollouts.countOld(running)
 	d.tallies.SetRunning(running)
 }
 
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -115,6 +115,9 @@
 			return Choice{Target: p, Load: int(p.load.Load()), Hit: 1, Why: "holds the KV cache"}, true
 		}
 	}
+	if c, ok := r.chooseTrial(now, n); ok {
+		return c, true
+	}
 	return r.work.Pool.Route(now, n)
 }
 
@@ -128,9 +131,13 @@
 	}
 	c.Target.Begin(f)
 	defer c.Target.End(f)
-	if now := r.opts.look(); !c.Until.IsZero() && !now.Before(c.Until) {
+	now := r.opts.look()
+	if !c.Until.IsZero() && !now.Before(c.Until) {
 		return EndedUnsent, errOldList // the box has slept since the choice
 	}
+	if r.barred(now, c.Target) {
+		return EndedUnsent, errBarred
+	}
 	if c.Target.over.Load() {
 		return EndedUnsent, errNewStart
 	}
@@ -140,7 +147,7 @@
 		return EndedUnsent, errors.New("request: endpoint began to leave")
 	}
 	r.life.on(eventSend)
-	r.started, r.expected, r.first = r.Now(), c.First, 0
+	r.started, r.expected, r.first, r.events, r.ownFailure = r.Now(), c.First, 0, 0, false
 	var ending Ending
 	var err error
 	switch {
--- a/request/pool.go
+++ b/request/pool.go
@@ -14,6 +14,7 @@
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
 
+	"streambend.example/rollout"
 	"streambend.example/seam"
 )
 
@@ -25,10 +26,11 @@
 
 	list atomic.Pointer[poolList] // nil once endpoints have come or gone, until the next use
 
-	mu    sync.Mutex
-	byID  map[string]*Target
-	gone  map[string]bool // boxes that have ended; the list may still show them
-	batch int
+	mu       sync.Mutex
+	byID     map[string]*Target
+	standing rollout.Standing // of the service's versions
+	gone     map[string]bool  // boxes that have ended; the list may still show them
+	batch    int
 
 	ticked time.Time
 
@@ -73,6 +75,8 @@
 		return nil
 	}
 	t := newTarget(e, p.batch, &p.cost)
+	t.role.Store(int32(p.standing.RoleOf(e.Version)))
+	t.resting.Store(t.Role() == rollout.Trial) // until the next Rule
 	p.byID[e.ID] = t
 	p.list.Store(nil)
 	return t
--- a/request/relay.go
+++ b/request/relay.go
@@ -248,6 +248,7 @@
 	x.begun(r.started)
 	if resp.StatusCode >= http.StatusInternalServerError {
 		x.failed = &failedAnswer{resp.StatusCode, resp.Header, body}
+		r.ownFailure = head.Signed
 		if !head.Signed {
 			x.failed = nil
 		}
@@ -304,6 +305,7 @@
 			return EndedBroken, &conn.Failure{Sent: true, Err: err}
 		}
 		count++
+		r.events = count
 		if first {
 			first = false
 			now := r.Now()
--- a/request/route.go
+++ b/request/route.go
@@ -35,6 +35,7 @@
 	Draw        uint64        // what chance decides by, so that a seed gives the same choices
 	Parts       []Part        // of the prompt, where they are known
 	Pause       time.Duration // the longest pause of a stream that is in time; 0 if not known
+	Trial       bool          // it goes to a version on trial
 	Without     mechanism.Set // mechanisms that are switched off
 }
 
@@ -98,7 +99,7 @@
 }
 
 // open reports whether a target takes work of this need.
-func (t *Target) open(n Need) bool { return !t.out.Load() && t != n.Avoid }
+func (t *Target) open(n Need) bool { return !t.out.Load() && t != n.Avoid && t.takes(n.Trial) }
 
 // share is a target's load per place, with its ramp after an ejection.
 func (t *Target) weighted() float64 {
--- a/request/server.go
+++ b/request/server.go
@@ -203,20 +203,24 @@
 	life *Life
 	work *Work
 
-	print    crash.Print
-	trial    bool // it is held back, and is tried once more
-	well     bool // the last attempt brought a whole good answer
-	claim    Claim
-	claimed  bool
-	ticket   Ticket
-	started  time.Time     // of the last attempt that was sent
-	expected time.Duration // from then to its first event; 0 if not known
-	first    time.Duration // the same as measured; 0 before it
-	attempts int
-	runs     int // attempts that may have run
-	avoid    *Target
-	prefer   *Target
-	restart  bool
+	print crash.Print
+	trial bool // it is held back, and is tried once more
+	well  bool // the last attempt brought a whole good answer
+
+	ownFailure bool // it brought a failure that is the endpoint's own
+	claim      Claim
+	claimed    bool
+	ticket     Ticket
+	started    time.Time     // of the last attempt that was sent
+	expected   time.Duration // from then to its first event; 0 if not known
+	first      time.Duration // the same as measured; 0 before it
+	events     int           // of that attempt's stream
+	drawn      bool          // whether it goes to a version on trial is decided
+	attempts   int
+	runs       int // attempts that may have run
+	avoid      *Target
+	prefer     *Target
+	restart    bool
 }
 
 func (s *Server) newRun(r *Request, a *Answer) *run {
--- a/request/settle.go
+++ b/request/settle.go
@@ -37,9 +37,10 @@
 		r.Count.CutOff.Add(1)
 		r.ends.closed(r.alive, t, crash.Flight{Print: r.print, For: now.Sub(r.started)})
 	}
-	if !errors.Is(failure, errOldList) {
+	if !errors.Is(failure, errOldList) && !errors.Is(failure, errBarred) {
 		r.note(now, t, e)
 	}
+	r.noteTrial(now, t, e, failure)
 	a := Aftermath{
 		Ending: e, Unrepeatable: r.r.Unrepeatable, Tainted: r.life.Tainted,
 		Budget: r.opts.NoBudget || r.work.Budget.Left(now), GiveUpAt: r.giveUpAt(),
--- a/request/target.go
+++ b/request/target.go
@@ -64,11 +64,13 @@
 	ID          string // the box
 	Born        int64  // of this start, Unix milliseconds; 0 if not known
 	Service     string // partner/name
+	Version     string // of its software
 	Zone        string
 	Address     string // host:port
 	Reclaimable bool
-	Slots       int // requests that it runs together; 0 if not known
-	Memory      int // tokens that an engine keeps; 0 if not known
+	Slots       int       // requests that it runs together; 0 if not known
+	Memory      int       // tokens that an engine keeps; 0 if not known
+	SlowUntil   time.Time // it is slow from its start until then; zero if it is not
 }
 
 // hash names the start of an endpoint: what was told of an earlier one, such as the prompts that
@@ -92,6 +94,8 @@
 	places  Places        // taken by others
 	answers atomic.Bool   // a request of this daemon was answered whole
 	over    atomic.Bool   // the endpoint has started again since
+	role    atomic.Int32  // rollout.Role of its version
+	resting atomic.Bool   // of a version on trial that others are enough for
 	sent    atomic.Uint32 // requests that this daemon has sent lately, fading, as float bits
 
 	mu       sync.Mutex
--- a/request/work.go
+++ b/request/work.go
@@ -41,6 +41,7 @@
 	Homes       func() bool   // daemons know little of what others have sent; nil for no
 	Sent        func(s Sent)  // is told of each prompt sent to an engine; nil for none
 	Without     mechanism.Set // mechanisms that are switched off
+	Trials      Trials        // of versions that are rolled out; nil for none
 	Judge       JudgePolicy   // decides what follows an attempt; nil for Classify
 	Holds       HoldShare     // with whom it is shared which requests are held back
 
