--- a/internal/trial/faults.go
+++ b/internal/trial/faults.go
@@ -39,6 +39,7 @@
 		{name: "handover", at: 0.4, mayUnknown: true, run: handover},
 		{name: "blind-replacement", at: 0.1, mayRefuse: true, run: blindReplacement},
 		{name: "late-joiner", at: 0.1, mayRefuse: true, run: lateJoiner},
+		{name: rolloutGood}, {name: rolloutBad}, // trials of their own, on the users' platform
 	}
 }
 
--- /dev/null
+++ b/internal/trial/rollout.go
@@ -0,0 +1,388 @@
+// SPDX-License-Identifier: MIT
+
+package trial
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sirupsen/logrus"
+
+	"streambend.example/entry"
+	"streambend.example/internal/standin"
+	"streambend.example/platform"
+)
+
+// The trials of a service that moves to another version.
+const (
+	rolloutGood = "rollout-good"
+	rolloutBad  = "rollout-bad"
+)
+
+// The figures of these trials.
+const (
+	rolloutFor      = 8 * time.Second // from the order to its deadline
+	rolloutEndpoint = 4               // of each version
+	rolloutRate     = 150             // requests a second
+	rolloutSettle   = 3 * time.Second // before the order and after its end
+	rolloutMost     = 30 * time.Second
+	// untriedShare and untriedSlack are what an untried version may get, and rollBackIn how long
+	// after its fiftieth bad answer it may get anything: what the settings of a daemon say if
+	// they say nothing.
+	untriedShare = 0.1
+	untriedSlack = 50
+	rollBackIn   = 5 * time.Second
+	fiftieth     = 50
+)
+
+// rolloutKind is a kind of request of these trials.
+type rolloutKind struct {
+	method, path string
+	events       int
+}
+
+var rolloutKinds = []rolloutKind{
+	{http.MethodPost, "/digest/", 40}, {http.MethodPost, "/explain/", 25}, {http.MethodPost, "/write/", 0},
+}
+
+// rolloutTrial is daemons on the users' platform, of whose services one moves to another version.
+type rolloutTrial struct {
+	o       Options
+	bad     bool
+	net     *standin.Net
+	store   *standin.Rows
+	api     *standin.DutyAPI
+	daemons []*entry.Daemon
+	old     []*standin.Runner
+	young   []*standin.Runner
+	stray   *standin.Runner // of a version that nobody orders
+	report  *Report
+
+	mu      sync.Mutex
+	ordered time.Time
+	ended   time.Time
+	state   string
+}
+
+// runRollout plays one of these trials.
+func runRollout(ctx context.Context, o Options, logs io.Writer) (*Report, error) {
+	t := &rolloutTrial{o: o, bad: o.Fault == rolloutBad, net: standin.NewNet(), report: &Report{Seed: o.Seed, Fault: o.Fault, mayUnknown: o.Fault == rolloutBad}}
+	defer t.close()
+	if err := t.setUp(logs); err != nil {
+		return nil, err
+	}
+	run, cancel := context.WithTimeout(ctx, rolloutSettle+rolloutMost)
+	defer cancel()
+	var callers sync.WaitGroup
+	callers.Go(func() { t.call(run) })
+	t.operate(run)
+	sleepFor(ctx, rolloutSettle)
+	cancel()
+	callers.Wait()
+	t.check()
+	return t.report, ctx.Err()
+}
+
+func sleepFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (t *rolloutTrial) say(format string, args ...any) {
+	if t.o.Progress != nil {
+		fmt.Fprintf(t.o.Progress, format+"\n", args...)
+	}
+}
+
+// setUp starts the stand-ins and the daemons, and waits until these know the endpoints.
+func (t *rolloutTrial) setUp(logs io.Writer) error {
+	var err error
+	if t.store, err = standin.NewRows(t.net, "10.9.0.1:80"); err != nil {
+		return errors.Wrap(err, "trial: store")
+	}
+	if t.api, err = standin.NewDutyAPI(t.net, "10.9.0.2:80"); err != nil {
+		return errors.Wrap(err, "trial: cloud")
+	}
+	if err := t.putCatalog(); err != nil {
+		return err
+	}
+	if t.old, err = t.start("v1", standin.RunnerFault{}); err != nil {
+		return err
+	}
+	t.say("starting %d daemons, and %d endpoints of version v1", t.o.Daemons, rolloutEndpoint)
+	log := logrus.New()
+	log.SetOutput(logs)
+	if level, err := logrus.ParseLevel(t.o.LogLevel); err == nil {
+		log.SetLevel(level)
+	}
+	for i := range t.o.Daemons {
+		site, err := rolloutSite(i, t.store.Address(), t.api.Address())
+		if err != nil {
+			return err
+		}
+		d, err := entry.New(site, t.net, log, 0)
+		if err != nil {
+			return err
+		}
+		t.daemons = append(t.daemons, d)
+	}
+	time.Sleep(rolloutSettle)
+	stray, err := t.start("v0", standin.RunnerFault{})
+	if err == nil {
+		t.stray = stray[0]
+		for _, r := range stray[1:] {
+			t.store.Drop(platform.RunnerTable, "", r.Instance)
+		}
+	}
+	return err
+}
+
+func rolloutSite(i int, store, cloud string) (platform.Site, error) {
+	return platform.ReadSite(strings.NewReader(fmt.Sprintf(`{"node_name": "daemon-%d", "zone": %q, "ip_address": "10.0.0.%d",
+		"listen_addresses": {"frontend": "10.0.0.%d:80", "ready": "10.0.0.%d:81", "control_plane": "10.0.0.%d:82"},
+		"limits": {"cpu_share": 0.4, "memory_mb": 284}, "bounds": {"retry_budget_ratio": 0.2, "retry_budget_slack": 56},
+		"platform": {"address": %q}, "cloud_api": {"address": %q, "duties": ["usage_reporting"], "duty_per_s": 50}}`,
+		i, string(rune('a'+i%2)), i, i, i, i, store, cloud)))
+}
+
+func (t *rolloutTrial) putCatalog() error {
+	route := func(path, kind string, attempts int, resume bool) map[string]any {
+		return map[string]any{
+			"name": "r" + path, "host": rolloutHost, "path_prefix": path, "kind": kind, "timeout_ms": 8000, "target_latency_ms": 600,
+			"priority": 1, "service": rolloutService, "target_gap_ms": 500, "attempts": attempts, "resumable": resume, "public": true,
+		}
+	}
+	b, err := json.Marshal(map[string]any{
+		"version":  1,
+		"routes":   []any{route("/digest/", "streaming", 1, false), route("/explain/", "streaming", 2, true), route("/write/", "unsafe", 1, false)},
+		"services": []any{map[string]any{"name": rolloutService, "engine": map[string]any{"slots": 64, "kv_cache_tokens": 500000}}},
+	})
+	if err != nil {
+		return errors.Wrap(err, "trial: configuration")
+	}
+	t.store.Put(platform.CatalogTable, "", "config", b)
+	return nil
+}
+
+const (
+	rolloutHost    = "trial.example"
+	rolloutService = "engines"
+)
+
+// start starts endpoints of a version, as the platform does.
+func (t *rolloutTrial) start(version string, f standin.RunnerFault) (out []*standin.Runner, err error) {
+	for i := range rolloutEndpoint {
+		r, err := standin.NewRunner(t.net, "127.0.0.1:0", fmt.Sprintf("i-%s-%d", version, i), 0, 10*time.Millisecond)
+		if err != nil {
+			return nil, errors.Wrap(err, "trial: endpoint")
+		}
+		r.Version, r.ByPath = version, make(map[string]int)
+		for _, k := range rolloutKinds {
+			r.ByPath[k.path] = k.events
+		}
+		r.SetFault(f)
+		t.store.Put(platform.RunnerTable, "", r.Instance, r.Entry(rolloutService, string(rune('a'+i%2)), "ready"))
+		out = append(out, r)
+	}
+	return out, nil
+}
+
+// operate is the operator and the platform: it orders the version, starts its endpoints, and stops
+// those of the version that has lost.
+func (t *rolloutTrial) operate(ctx context.Context) {
+	sleepFor(ctx, rolloutSettle)
+	b, _ := json.Marshal(map[string]any{"service": rolloutService, "target_version": "v2", "duration_s": rolloutFor.Seconds()}) // texts and numbers always encode
+	t.ordered = time.Now()
+	t.store.Put(platform.CatalogTable, "", "rollout/"+rolloutService, b)
+	t.say("version v2 is ordered, for %s", rolloutFor)
+	sleepFor(ctx, time.Second)
+	f := standin.RunnerFault{}
+	if t.bad {
+		f.FailEach = 3
+	}
+	var err error
+	if t.young, err = t.start("v2", f); err != nil {
+		t.wrong("endpoints of v2 do not start: %v", err)
+		return
+	}
+	for ctx.Err() == nil {
+		state := t.status()
+		if state != t.state {
+			t.say("after %s: %s", time.Since(t.ordered).Round(10*time.Millisecond), state)
+			t.state = state
+		}
+		switch state {
+		case "completed":
+			t.ended = time.Now()
+			t.stop(t.old)
+			return
+		case "rolled_back":
+			t.ended = time.Now()
+			return
+		}
+		sleepFor(ctx, 20*time.Millisecond)
+	}
+}
+
+// stop stops endpoints at once, with what they run.
+func (t *rolloutTrial) stop(rs []*standin.Runner) {
+	for _, r := range rs {
+		r.Close()
+		t.store.Drop(platform.RunnerTable, "", r.Instance)
+	}
+}
+
+// status returns the state of the order as the operator reads it.
+func (t *rolloutTrial) status() string {
+	var s struct {
+		State  string `json:"state"`
+		Target string `json:"target_version"`
+	}
+	b := t.store.Value(platform.StatusTable, "", "rollout/"+rolloutService)
+	if b == nil {
+		return ""
+	}
+	if err := json.Unmarshal(b, &s); err != nil || s.Target != "v2" {
+		t.wrong("status is %s", b)
+	}
+	return s.State
+}
+
+func (t *rolloutTrial) wrong(format string, args ...any) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.report.Wrong = append(t.report.Wrong, fmt.Sprintf(format, args...))
+}
+
+// call sends requests at an even rate to all daemons in turn.
+func (t *rolloutTrial) call(ctx context.Context) {
+	client := &http.Client{Transport: &http.Transport{DialContext: t.net.Dial, DisableCompression: true, MaxIdleConnsPerHost: rolloutRate}}
+	defer client.CloseIdleConnections()
+	tick := time.NewTicker(time.Second / rolloutRate)
+	defer tick.Stop()
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	for i := 0; ; i++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		wg.Go(func() { t.one(client, i) })
+	}
+}
+
+// one sends a request and counts what came of it.
+func (t *rolloutTrial) one(client *http.Client, i int) {
+	k := rolloutKinds[i/len(t.daemons)%len(rolloutKinds)]
+	id := fmt.Sprintf("r%d-%d", t.o.Seed, i)
+	req, err := http.NewRequest(k.method, fmt.Sprintf("http://10.0.0.%d:80%s%s", i%len(t.daemons), k.path, id), strings.NewReader("body of "+id))
+	if err != nil {
+		panic(err) // the address is our own
+	}
+	req.Host = rolloutHost
+	standin.CallerHead{ID: id, Wait: 8 * time.Second, Tokens: "900,60", Prompt: fmt.Sprintf("a1:300,%x:400,%x:200", 16+i%20, i)}.Write(req.Header)
+	resp, err := client.Do(req)
+	body, signed := []byte(nil), false
+	if err == nil {
+		body, err = io.ReadAll(resp.Body)
+		resp.Body.Close()
+		signed = standin.SignedBy(resp.Header) != ""
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.report
+	r.Accepted++
+	switch {
+	case err == nil && resp.StatusCode == http.StatusOK && strings.Count(string(body), "id: ") == k.events:
+		r.Complete++
+	case err == nil && resp.StatusCode == http.StatusOK:
+		r.NotWhole++
+	case err == nil && signed && t.bad:
+		r.UnknownOutcome++ // the bad version's own failure
+	default:
+		r.NotAnswered++
+		r.Failures = append(r.Failures, fmt.Sprintf("%s: %v %.200s", id, err, body))
+	}
+}
+
+// check holds what the endpoints have run against what an untried version may get.
+func (t *rolloutTrial) check() {
+	want := "completed"
+	if t.bad {
+		want = "rolled_back"
+	}
+	if t.state != want {
+		t.wrong("the order ended %q, not %q", t.state, want)
+	}
+	deadline := t.ordered.Add(rolloutFor)
+	young, old := runsWithin(t.young, t.ordered, deadline), runsWithin(t.old, t.ordered, deadline)
+	if most := untriedShare*float64(young+old) + untriedSlack; float64(young) > most {
+		t.wrong("the untried version got %d requests, %.0f at the most", young, most)
+	}
+	t.say("the new version got %d of %d requests until the deadline", young, young+old)
+	if n := len(t.stray.Ran()); n > 0 {
+		t.wrong("a version that nobody has ordered got %d requests", n)
+	}
+	if t.bad {
+		t.checkGone()
+	}
+}
+
+// checkGone holds when the bad version got its last request against its fiftieth bad answer, or
+// against the end of the order.
+func (t *rolloutTrial) checkGone() {
+	limit := t.ended.Add(time.Second)
+	var bad []time.Time
+	for _, r := range t.young {
+		for i, x := range r.Ran() {
+			if i%3 == 0 {
+				bad = append(bad, x.At)
+			}
+		}
+	}
+	if len(bad) >= fiftieth {
+		limit = bad[fiftieth-1].Add(rollBackIn)
+	}
+	if n := runsWithin(t.young, limit, limit.Add(time.Hour)); n > 0 {
+		t.wrong("the bad version got %d requests after it was rolled back", n)
+	}
+}
+
+func runsWithin(rs []*standin.Runner, from, to time.Time) (n int) {
+	for _, r := range rs {
+		for _, x := range r.Ran() {
+			if !x.At.Before(from) && x.At.Before(to) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (t *rolloutTrial) close() {
+	for _, d := range t.daemons {
+		d.Kill()
+	}
+	for _, r := range append(append([]*standin.Runner{}, t.old...), t.young...) {
+		r.Close()
+	}
+	if t.stray != nil {
+		t.stray.Close()
+	}
+	if t.store != nil {
+		t.store.Close()
+	}
+	if t.api != nil {
+		t.api.Close()
+	}
+}
--- a/internal/trial/run.go
+++ b/internal/trial/run.go
@@ -101,6 +101,9 @@
 // Run runs a trial. The error tells that it could not be run; whether the
 // promises held is in the report.
 func Run(ctx context.Context, o Options, logs io.Writer) (*Report, error) {
+	if o.Fault == rolloutGood || o.Fault == rolloutBad {
+		return runRollout(ctx, o, logs)
+	}
 	if o.Script == nil {
 		o.Script = Script(o.Fault)
 	}
