request: slow engines end no request for want of retries, and leave half of them to streams that have begun

As a zone is reclaimed all engines are slow to a first event. Now a request that is still under way somewhere takes one of half of the retries, or waits; a stream that has begun waits 1.2 s for an endpoint; where all endpoints are kept out for failures one of them is used. An end that daemons tell each other of names the start of the endpoint.

--- a/request/attempt.go
+++ b/request/attempt.go
@@ -21,6 +21,11 @@
 // routeWait is how often a request without an endpoint looks again.
 const routeWait = 50 * time.Millisecond
 
+// takeUpWait is how long a request that was under way waits for an endpoint to go on at, beyond
+// RouteWait: an endpoint is kept out for a second after failures, callers bear a pause of two, and
+// refused at once 30 of 30 streams were cut off whose endpoint ended while the others were out.
+const takeUpWait = 1200 * time.Millisecond
+
 // cacheKey is the name that engines group a prefix's blocks by.
 func cacheKey(prefix uint64) string { return strconv.FormatUint(prefix, 36) }
 
@@ -62,13 +67,17 @@
 
 // route chooses an endpoint, and waits for one while there is none.
 func (r *run) route(ctx context.Context) (Choice, *code.Error) {
+	until := r.r.Arrived.Add(r.opts.RouteWait)
+	if r.life.Tainted { // else it can be refused at once as not run
+		until = r.Now().Add(takeUpWait)
+	}
 	for {
 		now := r.Now()
-		until, listed := r.opts.listed(now) // before the choice, so that it is not of a newer list
+		current, listed := r.opts.listed(now) // before the choice, so that it is not of a newer list
 		c, ok := Choice{}, false
 		if listed {
 			c, ok = r.choose(now)
-			c.Until = until
+			c.Until = current
 		}
 		if err := r.overloaded(c); ok && err != nil {
 			return Choice{}, err
@@ -78,7 +87,7 @@
 			return c, nil
 		}
 		late := !now.Add(r.ticket.Expect).Before(r.r.Deadline) && r.attempts == 0
-		waited := r.opts.RouteWait > 0 && !now.Before(r.r.Arrived.Add(r.opts.RouteWait))
+		waited := r.opts.RouteWait > 0 && !now.Before(until)
 		if late || waited || !now.Before(r.giveUpAt()) {
 			return Choice{}, code.New(code.NoEndpoint, "no endpoint of %s takes work", r.work.Pool.Service).After(time.Second)
 		}
--- a/request/budget.go
+++ b/request/budget.go
@@ -16,6 +16,9 @@
 	Earn()
 	// Left reports whether one more is allowed.
 	Left(now time.Time) bool
+	// TakeSpare takes one for a request that may still be answered where it is, and reports
+	// whether that is allowed.
+	TakeSpare(now time.Time) bool
 	// Spend takes one.
 	Spend(now time.Time)
 }
@@ -53,6 +56,15 @@
 	return b.tokens >= 1
 }
 
+// TakeSpare implements Retries.
+func (b *Budget) TakeSpare(now time.Time) bool {
+	if !b.Left(now) {
+		return false
+	}
+	b.Spend(now)
+	return true
+}
+
 // Spend takes one retry.
 func (b *Budget) Spend(time.Time) {
 	b.mu.Lock()
@@ -73,6 +85,11 @@
 // have forgotten what they spent, and the others' number lags.
 const slackUsed = 0.6
 
+// spareShare is the part of the retries that requests may take which are still under way
+// somewhere. The rest is for streams whose endpoint ends: engines that were all slow as a zone was
+// reclaimed had taken all retries, and of 30 streams under way none was taken up elsewhere.
+const spareShare = 0.5
+
 // windowSteps is how finely a window is cut.
 const windowSteps = 10
 
@@ -118,13 +135,30 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
+	return b.within(1)
+}
+
+// TakeSpare implements Retries.
+func (b *WindowBudget) TakeSpare(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	at := b.advance(now)
+	if !b.within(spareShare) {
+		return false
+	}
+	b.repeats[at]++
+	return true
+}
+
+// within reports whether one more is within a part of what is allowed; the caller holds the lock.
+func (b *WindowBudget) within(part float64) bool {
 	firsts, repeats := 0, 0
 	for i := range b.firsts {
 		firsts += b.firsts[i]
 		repeats += b.repeats[i]
 	}
 	share := slackUsed * b.bound.Slack / float64(max(b.bound.Daemons(), 1))
-	return float64(repeats+1) <= b.bound.Ratio*float64(firsts)+share
+	return float64(repeats+1) <= part*(b.bound.Ratio*float64(firsts)+share)
 }
 
 // Spend implements Retries.
--- a/request/ends.go
+++ b/request/ends.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -71,16 +72,17 @@
 		"endpoint": t.ID, "requests": len(flights), "ended": ended, "leaving": leaving, "error": err,
 	}).Info("endpoint closed connections")
 	if ended {
-		x.report(now, crash.End{Endpoint: t.ID, Flights: flights})
+		x.report(now, crash.End{Endpoint: t.Start(), Flights: flights})
 	}
 }
 
 // endpointEnded ejects an endpoint that is known to have ended: before it is missing from the list
 // each daemon tries a connection in vain, and requests fail whose tries all go that way. As half of 12
 // endpoints ended, 6 of 2,880 requests did afterwards, and none of 8,640 with this.
-func (s *Server) endpointEnded(now time.Time, id string) {
+func (s *Server) endpointEnded(now time.Time, start string) {
+	id, _, _ := strings.Cut(start, "#")
 	_, t := s.Works.Find(id)
-	if t != nil && t.Gone(now) {
+	if t != nil && t.Start() == start && t.Gone(now) {
 		s.log.WithField("endpoint", id).Warn("ejected: ended")
 	}
 }
--- a/request/relay.go
+++ b/request/relay.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -187,17 +188,29 @@
 }
 
 // watchRelay watches an attempt of a request that may go elsewhere. One that may
-// not is left alone until its deadline: silence proves nothing.
+// not is left alone until its deadline: silence proves nothing. While no retry can be
+// spared it is left where it is, too: ended here it would be lost.
 func (r *run) watchRelay(c Choice, cancel context.CancelCauseFunc) watchdog {
 	x := r.r.Relay
 	if r.r.Unrepeatable || r.runs+1 >= x.Attempts || !r.opts.Without.On(mechanism.SilenceWatch) {
 		return watchdog{}
 	}
 	wait := max(r.r.Route.Target.Duration, answerLeast) + c.First
-	return watchdog{
-		timer: time.AfterFunc(wait, func() { cancel(errSilent) }),
-		stall: max(stallTimes*x.Pause, stallLeast),
-	}
+	w := watchdog{stall: max(stallTimes*x.Pause, stallLeast)}
+	var mu sync.Mutex // the timer is set before it can fire and be read
+	mu.Lock()
+	defer mu.Unlock()
+	w.timer = time.AfterFunc(wait, func() {
+		if r.work.Budget.TakeSpare(r.Now()) {
+			r.prepaid.Store(true)
+			cancel(errSilent)
+			return
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		w.timer.Reset(answerLeast)
+	})
+	return w
 }
 
 // watchAge ends an attempt that has no connection when the list by which its endpoint
--- a/request/route.go
+++ b/request/route.go
@@ -36,6 +36,7 @@
 	Parts       []Part        // of the prompt, where they are known
 	Pause       time.Duration // the longest pause of a stream that is in time; 0 if not known
 	Trial       bool          // it goes to a version on trial
+	Ejected     bool          // endpoints at which requests have failed will do
 	Without     mechanism.Set // mechanisms that are switched off
 }
 
@@ -79,8 +80,19 @@
 	return x ^ x>>32
 }
 
-// Route chooses an endpoint, or returns false if none takes work.
+// Route chooses an endpoint, or returns false if none takes work. Where all are kept out, one at
+// which requests have failed that it had taken is better than none: as all engines are slow at
+// once, all are kept out for silence.
 func (p *Pool) Route(now time.Time, n Need) (Choice, bool) {
+	c, ok := p.route(now, n)
+	if !ok {
+		n.Ejected = true
+		c, ok = p.route(now, n)
+	}
+	return c, ok
+}
+
+func (p *Pool) route(now time.Time, n Need) (Choice, bool) {
 	l := p.view()
 	switch {
 	case len(l.all) == 0:
@@ -99,7 +111,9 @@
 }
 
 // open reports whether a target takes work of this need.
-func (t *Target) open(n Need) bool { return !t.out.Load() && t != n.Avoid && t.takes(n.Trial) }
+func (t *Target) open(n Need) bool {
+	return (!t.out.Load() || n.Ejected && t.soft.Load()) && t != n.Avoid && t.takes(n.Trial)
+}
 
 // share is a target's load per place, with its ramp after an ejection.
 func (t *Target) weighted() float64 {
--- a/request/server.go
+++ b/request/server.go
@@ -216,6 +216,7 @@
 	first      time.Duration // the same as measured; 0 before it
 	events     int           // of that attempt's stream
 	drawn      bool          // whether it goes to a version on trial is decided
+	prepaid    atomic.Bool   // the next retry is taken from the budget already
 	attempts   int
 	runs       int // attempts that may have run
 	avoid      *Target
--- a/request/settle.go
+++ b/request/settle.go
@@ -43,7 +43,7 @@
 	r.noteTrial(now, t, e, failure)
 	a := Aftermath{
 		Ending: e, Unrepeatable: r.r.Unrepeatable, Tainted: r.life.Tainted,
-		Budget: r.opts.NoBudget || r.work.Budget.Left(now), GiveUpAt: r.giveUpAt(),
+		Budget: r.opts.NoBudget || r.prepaid.Load() || r.work.Budget.Left(now), GiveUpAt: r.giveUpAt(),
 		Strict: r.opts.Retry != nil, Spent: r.spent(e),
 	}
 	v := r.opts.judge(now, &a)
@@ -139,7 +139,9 @@
 		return
 	}
 	r.Count.Retries.Add(1)
-	r.work.Budget.Spend(r.Now())
+	if !r.prepaid.Swap(false) {
+		r.work.Budget.Spend(r.Now())
+	}
 	backoff := time.Duration(min(r.attempts, 6)) * retryStep
 	if v.Pause {
 		backoff = pauseLeast + time.Duration(min(r.attempts, 6))*pauseLeast
--- a/request/target.go
+++ b/request/target.go
@@ -73,15 +73,17 @@
 	SlowUntil   time.Time // it is slow from its start until then; zero if it is not
 }
 
-// hash names the start of an endpoint: what was told of an earlier one, such as the prompts that
-// it keeps, is not taken for the present one's.
-func (e Endpoint) hash() uint64 {
+// Start names the start of an endpoint: what was told of an earlier one, such as the prompts that
+// it keeps or that it has ended, is not taken for the present one's.
+func (e Endpoint) Start() string {
 	if e.Born == 0 {
-		return xxhash.Sum64String(e.ID)
+		return e.ID
 	}
-	return xxhash.Sum64String(e.ID + "#" + strconv.FormatInt(e.Born, 10))
+	return e.ID + "#" + strconv.FormatInt(e.Born, 10)
 }
 
+func (e Endpoint) hash() uint64 { return xxhash.Sum64String(e.Start()) }
+
 // Target is one start of an endpoint as this daemon sees it.
 type Target struct {
 	Endpoint
@@ -89,6 +91,7 @@
 	mine    atomic.Int32  // requests of this daemon in flight
 	load    atomic.Int32  // estimate of all requests in flight there
 	out     atomic.Bool   // leaving or ejected
+	soft    atomic.Bool   // it is out only as requests failed there that it had taken
 	ramp    atomic.Uint32 // share of its load bound it may take, as float bits
 	backlog *Backlog
 	places  Places        // taken by others
@@ -254,6 +257,7 @@
 		return nil, false
 	}
 	t.class, t.deadline = Leaving, deadline
+	t.soft.Store(false)
 	t.out.Store(true)
 	close(t.left)
 	for f := range t.flights {
@@ -268,6 +272,7 @@
 // end ends what is under way at a start of the endpoint that is over.
 func (t *Target) end() {
 	t.over.Store(true)
+	t.soft.Store(false)
 	t.out.Store(true)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -304,6 +309,7 @@
 	t.ejected = min(max(2*t.ejected, ejectFirst), ejectMost)
 	t.keepOut(now.Add(t.ejected))
 	t.fails = 0
+	t.soft.Store(!hard)
 	t.out.Store(true)
 	return true
 }
@@ -318,6 +324,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	fresh = !t.out.Load()
+	t.soft.Store(false)
 	t.keepOut(now.Add(endedFor))
 	t.fails = 0
 	t.out.Store(true)
--- a/request/trial.go
+++ b/request/trial.go
@@ -145,7 +145,7 @@
 		return c, false
 	}
 	n.Trial = true
-	c, ok = r.work.Pool.Route(now, n)
+	c, ok = r.work.Pool.route(now, n)
 	if ok && r.overloaded(c) == nil {
 		return c, true
 	}
