--- a/request/attempt.go
+++ b/request/attempt.go
@@ -109,7 +109,7 @@
 // Refused at once it can still be answered in time when it comes back.
 func (r *run) overloaded(c Choice) *code.Error {
 	x := r.r.Relay
-	if x == nil || x.WaitLimit == 0 || !r.opts.Without.On(mechanism.Admission) || r.attempts > 0 || c.Wait <= x.WaitLimit {
+	if x == nil || x.WaitLimit == 0 || !r.opts.Without.On(mechanism.Admission) || r.attempts > 0 || !c.WaitsBeyond(x.WaitLimit) {
 		return nil
 	}
 	return code.New(code.Overloaded, "%s to read before it, %s at the most", c.Wait.Round(time.Millisecond), x.WaitLimit).
--- a/request/placing_test.go
+++ b/request/placing_test.go
@@ -35,20 +35,22 @@
 	heads       int     // shared parts that there are
 	events      int
 	target      time.Duration
+	limit       time.Duration // it is refused if it would wait for longer; 0 for never
+	worth       float64       // of an answer in time
 }
 
 // evenKinds are prompts whose own parts have an exponential spread; of tailedKinds some
 // are so long that reading them makes the streams beside them late.
 var (
 	evenKinds = []kindOf{
-		{"digest", 165, 5400, 6600, 0, 0, 1650, 32, 1200 * time.Millisecond},
-		{"explain", 218, 200, 630, 0, 0, 966, 24, 800 * time.Millisecond},
-		{"tag", 373, 570, 1800, 0, 0, 3722, 2, 800 * time.Millisecond},
+		{"digest", 165, 5400, 6600, 0, 0, 1650, 32, 1200 * time.Millisecond, 0, 0},
+		{"explain", 218, 200, 630, 0, 0, 966, 24, 800 * time.Millisecond, 0, 0},
+		{"tag", 373, 570, 1800, 0, 0, 3722, 2, 800 * time.Millisecond, 0, 0},
 	}
 	tailedKinds = []kindOf{
-		{"digest", 165, 5400, 6600, 1.4, 54600, 1650, 32, 1200 * time.Millisecond},
-		{"explain", 218, 200, 630, 1, 3300, 966, 24, 800 * time.Millisecond},
-		{"tag", 373, 570, 1800, 1.3, 6900, 3722, 2, 800 * time.Millisecond},
+		{"digest", 165, 5400, 6600, 1.4, 54600, 1650, 32, 1200 * time.Millisecond, 0, 0},
+		{"explain", 218, 200, 630, 1, 3300, 966, 24, 800 * time.Millisecond, 0, 0},
+		{"tag", 373, 570, 1800, 1.3, 6900, 3722, 2, 800 * time.Millisecond, 0, 0},
 	}
 )
 
@@ -72,6 +74,7 @@
 	events int
 	begun  bool
 	late   bool // its first event, or one after a pause
+	again  bool // it was refused before
 }
 
 // desk is an engine: it runs deskPlaces requests, reads one prompt at a time, and keeps
@@ -126,6 +129,7 @@
 	warm    time.Time // what was sent before is not counted
 	sent    [3]int
 	inTime  [3]int
+	refused [3]int
 }
 
 // placeOn plays a load on so many engines for a span, whose first two fifths do not count.
@@ -184,13 +188,34 @@
 	head := uint64(k)<<32 | uint64(p.rng.IntN(kind.heads))<<1 | 1
 	own := p.own(kind)
 	j := &job{kind: k, daemon: p.rng.IntN(len(p.daemons)), sent: now, events: 1 + int(float64(kind.events)*math.Exp(0.4*p.rng.NormFloat64())), parts: []request.Part{{ID: head, Tokens: kind.shared}, {ID: p.rng.Uint64(), Tokens: own}}}
+	p.place(now, j)
+}
+
+// comeBack is when a caller that was refused comes back, once.
+const comeBack = 400 * time.Millisecond
+
+// place has a daemon send a prompt to an engine, or refuse it.
+func (p *placing) place(now time.Time, j *job) {
+	kind, head := p.kinds[j.kind], j.parts[0].ID
 	pool := p.daemons[j.daemon].Works.All()[0].Pool
 	c, ok := pool.Route(now, request.Need{
-		Prefix: head, Prompt: kind.shared + own, Parts: j.parts, Pause: deskPause, Service: 1500 * time.Millisecond, Homes: true, Draw: p.rng.Uint64(),
+		Prefix: head, Prompt: kind.shared + j.parts[1].Tokens, Parts: j.parts, Pause: deskPause, Service: 1500 * time.Millisecond, Homes: true, Draw: p.rng.Uint64(),
 	})
 	if !ok {
 		return
 	}
+	if kind.limit > 0 && c.WaitsBeyond(kind.limit) {
+		if !j.again {
+			j.again, j.daemon = true, p.rng.IntN(len(p.daemons))
+			p.agenda.add(now.Add(comeBack), func(now time.Time) { p.place(now, j) })
+			return
+		}
+		if !j.sent.Before(p.warm) {
+			p.sent[j.kind]++
+			p.refused[j.kind]++
+		}
+		return
+	}
 	j.target = c.Target
 	c.Target.Begin(nil)
 	var word request.Sent
@@ -322,3 +347,39 @@
 		})
 	}
 }
+
+// fewKinds are prompts for which there are not enough engines, as half of them have been
+// reclaimed.
+var fewKinds = []kindOf{
+	{"digest", 68, 5382, 6610, 1.4, 54600, 402, 24, 1200 * time.Millisecond, 360 * time.Millisecond, 4.5},
+	{"explain", 155, 198, 628, 1, 3310, 795, 24, 600 * time.Millisecond, 480 * time.Millisecond, 2.3},
+	{"tag", 153, 568, 1800, 1.3, 6870, 908, 2, 800 * time.Millisecond, 270 * time.Millisecond, 0.33},
+}
+
+// value returns the share of the worth that callers get: a late answer is worth a tenth.
+func (p *placing) value() float64 {
+	got, all := 0.0, 0.0
+	for k, kind := range p.kinds {
+		late := p.sent[k] - p.inTime[k] - p.refused[k]
+		got += kind.worth * (float64(p.inTime[k]) + 0.1*float64(late))
+		all += kind.worth * float64(p.sent[k])
+	}
+	return got / all
+}
+
+// Load: a third fewer engines than the load takes. What cannot be answered in time is refused at
+// once, so that the rest is.
+func TestTooFewEnginesServeAsManyAsTheyCan(t *testing.T) {
+	for _, engines := range []int{16, 22, 28} {
+		for seed := range uint64(2) {
+			t.Run(fmt.Sprint(engines, "/", seed), func(t *testing.T) {
+				t.Parallel()
+				p := placeOn(seed, fewKinds, 60, engines, 20*time.Second)
+				for k, kind := range p.kinds {
+					t.Logf("%s: %d sent, %d in time, %d refused", kind.name, p.sent[k], p.inTime[k], p.refused[k])
+				}
+				t.Logf("value %.3f", p.value())
+			})
+		}
+	}
+}
--- a/request/route.go
+++ b/request/route.go
@@ -53,6 +53,10 @@
 	Others [candidateCount]Candidate
 }
 
+// WaitsBeyond reports whether even the chosen engine has more to do before it begins to read a
+// prompt than the prompt may wait for.
+func (c Choice) WaitsBeyond(limit time.Duration) bool { return c.Wait > limit }
+
 // Candidate is an endpoint that was considered.
 type Candidate struct {
 	Target *Target
