request: what waits for a place at an engine waits behind what others have sent there, and is refused if that is too long

Places.Take had each request begin as it was sent, though all places of its engine were taken, and only the prompts to be read decided whom to refuse.

--- a/mechanism/mechanism.go
+++ b/mechanism/mechanism.go
@@ -30,6 +30,7 @@
 	SilenceWatch
 	SlowEjection
 	EnginePlaces
+	PlaceQueue
 	count
 )
 
@@ -49,6 +50,7 @@
 	SilenceWatch:    {"silence-watch", "what may be repeated goes elsewhere when its endpoint is silent"},
 	SlowEjection:    {"slow-ejection", "plain endpoints that are far slower than the others get nothing for a while"},
 	EnginePlaces:    {"engine-places", "prompts go where places are free, by what all daemons have sent"},
+	PlaceQueue:      {"place-queue", "what waits for a place at an engine is reckoned to wait behind what others have sent there, and refused if that is too long"},
 	ScaleHold:       {"scale-hold", "fewer endpoints are ordered only once fewer were wanted for a while"},
 }
 
--- a/request/backlog.go
+++ b/request/backlog.go
@@ -206,7 +206,7 @@
 		if t := k.Pool.view().byHash[s.Endpoint]; t != nil {
 			t.backlog.Add(now, s.Fresh, s.Total, s.Parts)
 			if w.opts.Without.On(mechanism.EnginePlaces) {
-				t.places.Take(now, now.Add(t.backlog.Left(now)+k.Pool.holds.of(s.Out)))
+				t.places.Take(now, now.Add(t.backlog.Left(now)), k.Pool.holds.of(s.Out), t.placesFor(w.opts.Without))
 			}
 			return
 		}
@@ -297,7 +297,11 @@
 			continue
 		}
 		r := t.backlog.Read(now, n.Parts)
-		first := max(r.Wait, t.slotWait(now, n)) + r.Own + r.Start
+		place := t.slotWait(now, n)
+		first := max(r.Wait, place) + r.Own + r.Start
+		if !n.Without.On(mechanism.PlaceQueue) {
+			place = 0
+		}
 		shared := r.Own.Seconds() * float64(r.Shared) / float64(max(r.Fresh, 1))
 		score := first.Seconds()
 		if n.Without.On(mechanism.RereadCost) {
@@ -320,7 +324,7 @@
 		}
 		if score < best {
 			best = score
-			c = Choice{Target: t, Load: int(t.load.Load()), Reading: r, First: first, Why: "read soonest"}
+			c = Choice{Target: t, Load: int(t.load.Load()), Reading: r, Place: place, First: first, Why: "read soonest"}
 			if holds {
 				c.Why = "holds others up, few run beside"
 			}
@@ -342,11 +346,24 @@
 	return max(int(t.load.Load()), int(t.mine.Load())+t.places.Taken(now))
 }
 
+// placesFor returns how many places the engine has for the requests of other daemons.
+func (t *Target) placesFor(without mechanism.Set) int {
+	if !without.On(mechanism.PlaceQueue) {
+		return math.MaxInt // what waits is not told from what runs
+	}
+	return t.slots() - int(t.mine.Load())
+}
+
+// slots returns how many requests the endpoint runs together.
+func (t *Target) slots() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.batch
+}
+
 // slotWait estimates how long a request waits for a place at the endpoint.
 func (t *Target) slotWait(now time.Time, n Need) time.Duration {
-	t.mu.Lock()
-	batch := t.batch
-	t.mu.Unlock()
+	batch := t.slots()
 	wait := t.places.Wait(now, batch-int(t.mine.Load()))
 	if over := int(t.load.Load()) - batch + 1; over > 0 {
 		wait = max(wait, time.Duration(float64(over)/float64(batch)*float64(n.Service)))
--- a/request/places.go
+++ b/request/places.go
@@ -17,11 +17,17 @@
 	ends []time.Time // when each is expected to be free, in order
 }
 
-// Take notes that a place is taken until about a time.
-func (p *Places) Take(now, until time.Time) {
+// Take notes that a request takes a place for a time, from about a moment on, at an engine that has
+// so many places for the requests of other daemons. While all of them are taken it waits for the
+// next to be free, as those that came before it do.
+func (p *Places) Take(now, from time.Time, hold time.Duration, places int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.drop(now)
+	if over := len(p.ends) - max(places, 1); over >= 0 && p.ends[over].After(from) {
+		from = p.ends[over]
+	}
+	until := from.Add(hold)
 	at, _ := slices.BinarySearchFunc(p.ends, until, time.Time.Compare)
 	p.ends = slices.Insert(p.ends, at, until)
 }
@@ -97,6 +103,10 @@
 	h.token += holdWeight * (took.Seconds()/float64(tokens) - h.token)
 }
 
+// Held takes in how long an answer held its place at an engine of the service from its first event
+// on, of which so many tokens were expected.
+func (p *Pool) Held(tokens int, took time.Duration) { p.holds.learn(tokens, took) }
+
 // of returns how long an answer of so many expected tokens holds its place.
 func (h *holdTime) of(tokens int) time.Duration {
 	h.mu.Lock()
--- a/request/placing_test.go
+++ b/request/placing_test.go
@@ -72,6 +72,7 @@
 	mark   request.Mark
 	sent   time.Time
 	events int
+	guess  int // tokens of its answer, as its caller has it
 	begun  bool
 	late   bool // its first event, or one after a pause
 	again  bool // it was refused before
@@ -219,7 +220,8 @@
 	j.target = c.Target
 	c.Target.Begin(nil)
 	var word request.Sent
-	j.mark, word = c.Target.Send(now, c.Fresh, j.parts, int(float64(j.events*deskEvent)*math.Exp(0.5*p.rng.NormFloat64())))
+	j.guess = int(float64(j.events*deskEvent) * math.Exp(0.5*p.rng.NormFloat64()))
+	j.mark, word = c.Target.Send(now, c.Fresh, j.parts, j.guess)
 	for i, d := range p.daemons {
 		if i != j.daemon {
 			p.agenda.add(now.Add(time.Duration(15+p.rng.IntN(120))*time.Millisecond), func(now time.Time) { d.Works.HearSent(now, word) })
@@ -256,6 +258,7 @@
 		p.agenda.add(first, func(now time.Time) { p.first(now, j) })
 		p.agenda.add(last, func(now time.Time) {
 			j.target.End(nil)
+			p.daemons[j.daemon].Works.All()[0].Pool.Held(j.guess, last.Sub(first))
 			delete(e.running, j)
 			p.count(j)
 			p.begin(now, e)
@@ -367,9 +370,13 @@
 	return got / all
 }
 
-// Load: a third fewer engines than the load takes. What cannot be answered in time is refused at
-// once, so that the rest is.
+// Load: as a zone or two are reclaimed there are engines for 0.6 and 0.8 of the load, or just enough. What
+// cannot be answered in time is refused at once, so that the rest is. While what waits at an engine
+// was not reckoned to wait behind what others had sent there, callers got 0.06 to 0.07, 0.22 to
+// 0.33 and 0.48 to 0.52 of the worth (two seeds each), as nearly all came late; now 0.33, 0.50 to
+// 0.53 and 0.63 to 0.69. They are to get half of what the engines could do.
 func TestTooFewEnginesServeAsManyAsTheyCan(t *testing.T) {
+	const needed = 27 // engines whose places the load takes all the time
 	for _, engines := range []int{16, 22, 28} {
 		for seed := range uint64(2) {
 			t.Run(fmt.Sprint(engines, "/", seed), func(t *testing.T) {
@@ -379,6 +386,7 @@
 					t.Logf("%s: %d sent, %d in time, %d refused", kind.name, p.sent[k], p.inTime[k], p.refused[k])
 				}
 				t.Logf("value %.3f", p.value())
+				assert.Greater(t, p.value(), 0.5*math.Min(1, float64(engines)/needed))
 			})
 		}
 	}
--- a/request/relay.go
+++ b/request/relay.go
@@ -310,7 +310,7 @@
 			r.well = count > 0
 			if r.runs == 0 {
 				r.work.Pool.cost.LearnEvents(x.Guess, count)
-				r.work.Pool.holds.learn(x.OutTokens, r.Now().Sub(r.started)-r.first)
+				r.work.Pool.Held(x.OutTokens, r.Now().Sub(r.started)-r.first)
 			}
 			return EndedWhole, nil
 		}
--- a/request/route.go
+++ b/request/route.go
@@ -48,6 +48,7 @@
 	Bound  int // load bound in force
 	Why    string
 	Reading
+	Place  time.Duration // until a place is free there
 	First  time.Duration // until the first event, as expected; 0 if not known
 	Until  time.Time     // by then the request is on its way, or the list is too old; zero for no limit
 	Others [candidateCount]Candidate
@@ -55,7 +56,7 @@
 
 // WaitsBeyond reports whether even the chosen engine has more to do before it begins to read a
 // prompt than the prompt may wait for.
-func (c Choice) WaitsBeyond(limit time.Duration) bool { return c.Wait > limit }
+func (c Choice) WaitsBeyond(limit time.Duration) bool { return max(c.Wait, c.Place) > limit }
 
 // Candidate is an endpoint that was considered.
 type Candidate struct {
