--- a/entry/scale.go
+++ b/entry/scale.go
@@ -121,7 +121,8 @@
 		}
 		pool := x.d.work(name).Pool
 		w.Take(now, pool.Reading())
-		w.Count(now, x.d.tallies.Running(now, pool.Service))
+		places, _ := pool.Capacity()
+		w.Count(now, x.d.tallies.Running(now, pool.Service), places)
 	}
 }
 
@@ -221,7 +222,11 @@
 func (x *scaleDuty) load(b version.Backend, w *capacity.Demand) capacity.Load {
 	pool := x.d.work(b.Name).Pool
 	l := capacity.Load{Busy: w.Busy}
-	if slots := pool.Slots(); slots > 0 {
+	slots := pool.Slots()
+	if slots == 0 {
+		slots = float64(b.Slots) // of those that will come
+	}
+	if slots > 0 {
 		l.Places = w.Running / slots
 	}
 	l.Read, l.Spread = pool.ReadTimes()
