--- a/capacity/demand.go
+++ b/capacity/demand.go
@@ -31,14 +31,11 @@
 }
 
 // Count takes in how many requests are at a service's endpoints, and how many places these have.
-// What is beyond that waits, and takes a place only once another is free: counted as running, a
-// queue of seconds had 148 endpoints ordered on demand for a load that 60 served. Without any place
-// nothing is learnt: the requests are not there because there is nowhere to be.
+// Without any place nothing is learnt: the requests are not there because there is nowhere to be.
 func (d *Demand) Count(now time.Time, running, places int) {
 	if places <= 0 {
 		return
 	}
-	running = min(running, places)
 	if !d.counted.IsZero() {
 		d.Running += (float64(running) - d.Running) * followed(now.Sub(d.counted), float64(running) > d.Running)
 	}
--- a/entry/rolloutduty.go
+++ b/entry/rolloutduty.go
@@ -135,6 +135,13 @@
 	if !ok {
 		return nil
 	}
+	from := row.Stage
+	if row.Number != next.Number {
+		from = rollout.Unknown // of an earlier order
+	}
+	if !rollout.Allowed(from, next.Stage) {
+		return errors.Errorf("entry: an order that is %s cannot be %s", from, next.Stage)
+	}
 	next.Epoch = f.Token
 	value, err := json.Marshal(next)
 	if err != nil {
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -51,7 +51,8 @@
 	{Name: eventSee, Src: []string{Unknown.String()}, Dst: Watching.String()},
 	{Name: eventTrust, Src: []string{Watching.String()}, Dst: Shifting.String()},
 	{Name: eventRollBack, Src: []string{Unknown.String(), Watching.String(), Shifting.String()}, Dst: RolledBack.String()},
-	{Name: eventComplete, Src: []string{Watching.String(), Shifting.String()}, Dst: Completed.String()},
+	// From the beginning for a version that the service has already.
+	{Name: eventComplete, Src: []string{Unknown.String(), Shifting.String()}, Dst: Completed.String()},
 }
 
 // eventTo names the event that leads to a stage.
--- /dev/null
+++ b/rollout/rollout_test.go
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: MIT
+
+package rollout_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"streambend.example/rollout"
+)
+
+var allStages = []rollout.Stage{rollout.Unknown, rollout.Watching, rollout.Shifting, rollout.RolledBack, rollout.Completed}
+
+// A version runs a request only if it is the service's own or an order lets it.
+func TestWhichVersionsMayRunRequests(t *testing.T) {
+	own := []string{"v1"}
+	at := func(s rollout.Stage) rollout.Standing {
+		return rollout.Standing{Own: own, Order: true, Fact: rollout.Fact{Number: 7, Target: "v2", Stage: s}}
+	}
+	for _, tc := range []struct {
+		name     string
+		standing rollout.Standing
+		roles    map[string]rollout.Role
+	}{
+		{"nothing known", rollout.Standing{}, map[string]rollout.Role{"v1": rollout.Own, "v2": rollout.Own}},
+		{"no order", rollout.Standing{Own: own}, map[string]rollout.Role{"v1": rollout.Own, "v2": rollout.Barred}},
+		{"an order of which nothing else is known", at(rollout.Unknown), map[string]rollout.Role{"v1": rollout.Own, "v2": rollout.Barred}},
+		{"watching", at(rollout.Watching), map[string]rollout.Role{"v1": rollout.Own, "v2": rollout.Trial, "v9": rollout.Barred}},
+		{"shifting", at(rollout.Shifting), map[string]rollout.Role{"v1": rollout.Own, "v2": rollout.Trial, "v9": rollout.Barred}},
+		{"rolled back", at(rollout.RolledBack), map[string]rollout.Role{"v1": rollout.Own, "v2": rollout.Barred}},
+		{"completed", at(rollout.Completed), map[string]rollout.Role{"v1": rollout.Barred, "v2": rollout.Own, "v9": rollout.Barred}},
+	} {
+		for v, role := range tc.roles {
+			assert.Equal(t, role, tc.standing.RoleOf(v), "%s: %s", tc.name, v)
+		}
+	}
+}
+
+func TestOwnVersionsAreThoseThatManyEndpointsCarry(t *testing.T) {
+	assert.Nil(t, rollout.OwnOf(nil))
+	assert.Equal(t, []string{"v1"}, rollout.OwnOf(map[string]int{"v1": 30, "v9": 1}))
+	assert.Equal(t, []string{"v1", "v2"}, rollout.OwnOf(map[string]int{"v1": 5, "v2": 5}), "a fleet between two versions")
+	assert.Equal(t, []string{"a"}, rollout.OwnOf(map[string]int{"a": 2, "b": 2, "c": 2, "d": 2}))
+}
+
+// There is one end: none follows from another, in whichever order what is known comes.
+func TestAnOrderHasOneEnd(t *testing.T) {
+	for _, from := range allStages {
+		for _, to := range allStages {
+			if from.Ended() {
+				assert.False(t, rollout.Allowed(from, to), "%s to %s", from, to)
+			}
+		}
+	}
+	assert.True(t, rollout.Allowed(rollout.Watching, rollout.Shifting))
+	assert.False(t, rollout.Allowed(rollout.Shifting, rollout.Watching))
+}
+
+func drawFact(t *rapid.T, name string) rollout.Fact {
+	return rollout.Fact{
+		Number: rapid.Int64Range(1, 3).Draw(t, name+" number"), Target: "v2",
+		Stage: rapid.SampledFrom(allStages).Draw(t, name+" stage"),
+	}
+}
+
+// Whoever hears what first, all know the same in the end, and nobody goes back.
+func TestFactsOnlyMoveOn(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawFact(t, "a"), drawFact(t, "b"), drawFact(t, "c")
+		if a.Merge(b) != b.Merge(a) || a.Merge(b).Merge(c) != a.Merge(b.Merge(c)) || a.Merge(a) != a {
+			t.Fatalf("%v %v %v", a, b, c)
+		}
+		if m := a.Merge(b); m.Number < a.Number || m.Number == a.Number && m.Stage < a.Stage {
+			t.Fatalf("%v after %v", m, a)
+		}
+	})
+}
+
+// Whatever comes to whichever daemons, which may start anew at any moment: together they give an
+// untried version no more than the cap, without knowing of each other.
+func TestDaemonsTogetherKeepTheCap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cap := rollout.Cap{Share: rapid.SampledFrom([]float64{0.1, 0.3}).Draw(t, "share"), Slack: 50}
+		daemons := rapid.IntRange(1, 8).Draw(t, "daemons")
+		begin := func(i int) *rollout.Bucket { return &rollout.Bucket{Cap: cap, Lead: float64(i) / float64(daemons)} }
+		buckets := make([]*rollout.Bucket, daemons)
+		for i := range buckets {
+			buckets[i] = begin(i)
+		}
+		length := 10 * time.Second
+		span := rollout.Span{Stage: rollout.Watching, Deadline: sinceStart(length)}
+		asked, given, restarts := 0, 0, 0
+		now := time.Duration(0)
+		for range rapid.IntRange(1000, 3000).Draw(t, "requests") {
+			now += time.Duration(rapid.IntRange(2, 5).Draw(t, "gap")) * time.Millisecond
+			if now >= length {
+				break
+			}
+			i := rapid.IntRange(0, daemons-1).Draw(t, "daemon")
+			switch rapid.IntRange(0, 200).Draw(t, "event") {
+			case 0:
+				buckets[i] = begin(i)
+				restarts++
+			case 1:
+				span.Stage = rollout.Shifting
+			}
+			asked++
+			a := rollout.Ask{Route: fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "route")), Expect: time.Second}
+			if buckets[i].Take(sinceStart(now), span, a) {
+				given++
+			}
+		}
+		if most := cap.Share*float64(asked) + float64(daemons)/2 + float64(restarts) + 1; float64(given) > most {
+			t.Fatalf("%d of %d, %.1f at the most", given, asked, most)
+		}
+	})
+}
+
+// A doubt never ends an order well, and a bad version is never completed.
+func TestNextNeverTradesADoubtForAnEnd(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := sinceStart(time.Duration(rapid.IntRange(0, 60).Draw(t, "now")) * time.Second)
+		s := rollout.State{
+			Span:    rollout.Span{Stage: rapid.SampledFrom(allStages).Draw(t, "stage"), Deadline: sinceStart(12 * time.Second)},
+			Finding: rollout.Finding{Opinion: rapid.SampledFrom([]rollout.Opinion{rollout.Undecided, rollout.Good, rollout.Bad}).Draw(t, "opinion")},
+			Ready:   rapid.IntRange(0, 3).Draw(t, "ready"), Enough: rapid.IntRange(1, 3).Draw(t, "enough"),
+			Busy: rapid.IntRange(0, 2).Draw(t, "busy"), IdleFrom: sinceStart(0), Since: sinceStart(0), Gone: rapid.Bool().Draw(t, "gone"),
+		}
+		next, _ := rollout.Next(now, s)
+		switch {
+		case next != s.Stage && s.Stage.Ended():
+			t.Fatal("an end was left")
+		case next == rollout.Completed && s.Stage != rollout.Completed && (s.Finding.Opinion != rollout.Good || s.Busy > 0 || s.Ready < s.Enough):
+			t.Fatal("completed in doubt")
+		case next != rollout.RolledBack && !s.Stage.Ended() && s.Finding.Opinion == rollout.Bad:
+			t.Fatal("a bad version goes on")
+		case next < s.Stage:
+			t.Fatal("it went back")
+		}
+	})
+}
+
+// The old endpoints are stopped at once as an order is completed: only when they have had nothing
+// to do for a while, in time or after all requests have been at the new version for a look.
+func TestAnOrderIsCompletedOnceTheOldEndpointsAreIdle(t *testing.T) {
+	at := func(now, idle time.Duration, busy int) rollout.Stage {
+		next, _ := rollout.Next(sinceStart(now), rollout.State{
+			Span: rollout.Span{Stage: rollout.Shifting, Deadline: sinceStart(12 * time.Second)}, Finding: rollout.Finding{Opinion: rollout.Good},
+			Ready: 3, Enough: 3, Busy: busy, IdleFrom: sinceStart(idle), Since: sinceStart(8 * time.Second),
+		})
+		return next
+	}
+	assert.Equal(t, rollout.Shifting, at(10*time.Second, 9*time.Second, 0), "the cap leaves no room for all requests")
+	assert.Equal(t, rollout.Completed, at(11500*time.Millisecond, 10*time.Second, 0), "in time")
+	assert.Equal(t, rollout.Shifting, at(11500*time.Millisecond, 11*time.Second, 0), "what daemons tell is half a second old")
+	assert.Equal(t, rollout.Shifting, at(13*time.Second, 12*time.Second, 0), "late by now: it is looked at")
+	assert.Equal(t, rollout.Completed, at(16*time.Second, 15*time.Second, 0))
+	assert.Equal(t, rollout.Shifting, at(16*time.Second, 15*time.Second, 1), "one answer is not whole yet")
+}
+
+// One endpoint of three that fails is not the version's fault; all three are.
+func TestAnEndpointIsNotAVersion(t *testing.T) {
+	play := func(bad map[string]int64) rollout.Opinion {
+		var v rollout.Voices
+		var f rollout.Finding
+		for i := range int64(20) {
+			c := rollout.Counts{Old: map[string]rollout.Tally{"r": {Whole: 200 * (i + 1)}}, New: map[string]map[string]rollout.Tally{"r": {}}}
+			for e, n := range bad {
+				c.New["r"][e] = rollout.Tally{Whole: 5 * (i + 1), Bad: n * (i + 1)}
+			}
+			if f = v.Take(sinceStart(time.Duration(i)*250*time.Millisecond), c); f.Opinion == rollout.Bad {
+				break
+			}
+		}
+		return f.Opinion
+	}
+	assert.NotEqual(t, rollout.Bad, play(map[string]int64{"a": 3, "b": 0, "c": 0}))
+	assert.Equal(t, rollout.Bad, play(map[string]int64{"a": 2, "b": 2, "c": 2}))
+	assert.Equal(t, rollout.Good, play(map[string]int64{"a": 0, "b": 0, "c": 0}))
+}
