--- a/cmd/streambend/explain.go
+++ b/cmd/streambend/explain.go
@@ -15,6 +15,7 @@
 // explainCommand tells from daemons' logs what became of requests.
 type explainCommand struct {
 	Request string `long:"request" value-name:"ID" description:"tells every decision on one request, across all boxes in order; without it a table by second and route"`
+	Rollout string `long:"rollout" value-name:"SERVICE" description:"tells how a service's orders to move to another version went, and why they ended so"`
 }
 
 // Execute implements flags.Commander.
@@ -33,6 +34,9 @@
 		return usageError{code.New(code.BadCommand, "no line of a daemon among %d; the last: %v", log.Unread, log.Example)}
 	}
 	c.warn(log)
+	if c.Rollout != "" {
+		return c.rollout(log)
+	}
 	if c.Request == "" {
 		return explain.Print(os.Stdout, log.Sum())
 	}
@@ -44,6 +48,16 @@
 	return nil
 }
 
+// rollout tells how a service's orders went.
+func (c *explainCommand) rollout(log explain.Log) error {
+	story := log.Rollout(c.Rollout)
+	if len(story) == 0 {
+		return code.New(code.NoSuchRequest, "no line of %d tells of a roll-out of %q", len(log.Lines), c.Rollout)
+	}
+	fmt.Println(strings.Join(story, "\n"))
+	return nil
+}
+
 // warn says what the logs lack.
 func (c *explainCommand) warn(log explain.Log) {
 	if log.Unread > 0 {
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -142,7 +142,7 @@
 func (k *runnerKeeper) set(now time.Time, r platform.Runner) {
 	old, known := k.byID[r.ID]
 	fields := logrus.Fields{
-		"part": "endpoints", "endpoint": r.ID, "born": r.Born, "service": r.Service, "version": r.Version, "zone": r.Zone, "address": r.Address, "reclaimable": r.Reclaimable,
+		"part": "endpoints", "endpoint": r.ID, "born": r.Born, "service": r.Service, "software": r.Version, "zone": r.Zone, "address": r.Address, "reclaimable": r.Reclaimable,
 	}
 	if known && r.Born != 0 && r.Born < old.Born {
 		k.d.log.WithFields(fields).WithField("present", old.Born).Info("entry of an earlier start left out")
--- a/explain/explain_test.go
+++ b/explain/explain_test.go
@@ -75,3 +75,25 @@
 	require.NoError(t, explain.Print(&out, counts))
 	assert.Contains(t, out.String(), "16:00:01  tag     1         0      30ms         10ms                 1109 team-share x1")
 }
+
+// Lines of a roll-out, as two daemons write them.
+func TestARollOutIsToldOnceForAllBoxes(t *testing.T) {
+	var l explain.Log
+	require.NoError(t, l.Read("box-a", strings.NewReader(`{"msg":"order to move a service to a version","part":"rollout","service":"desk","target":"v2","order":30,"for_ms":12000,"time":"16:00:00.100"}
+{"msg":"order has moved on","part":"rollout","service":"desk","target":"v2","order":30,"stage":"watching","after_ms":40,"time":"16:00:00.140"}
+{"msg":"order has moved on","part":"rollout","service":"desk","target":"v2","order":30,"stage":"rolled back","after_ms":5100,"why":"digest: 9 of 14 bad","time":"16:00:05.200"}
+{"msg":"status of an order written","part":"rollout","service":"desk","target":"v2","order":30,"stage":"rolled back","why":"digest: 9 of 14 bad","time":"16:00:05.300"}
+`)))
+	require.NoError(t, l.Read("box-b", strings.NewReader(`{"msg":"order has moved on","part":"rollout","service":"desk","target":"v2","order":30,"stage":"rolled back","after_ms":4900,"time":"16:00:05.230"}
+{"msg":"endpoint found","part":"endpoints","service":"desk","software":"v2","time":"16:00:05.240"}
+`)))
+	l.Sort()
+	assert.Equal(t, []string{
+		"16:00:00.100  box-a: order 30 asks for version v2 within 12s",
+		"16:00:00.140  box-a: order 30, version v2: watching, after 40ms",
+		"16:00:05.200  box-a: order 30, version v2: rolled back, after 5.1s: digest: 9 of 14 bad (2 boxes, the last 30ms later)",
+		"16:00:05.300  box-a: order 30, version v2: the operator reads that it is rolled back: digest: 9 of 14 bad",
+	}, l.Rollout("desk"))
+	assert.Empty(t, l.Rollout("portal"))
+	assert.Zero(t, l.Unread)
+}
--- a/explain/line.go
+++ b/explain/line.go
@@ -42,6 +42,11 @@
 	CatalogAge time.Duration
 	Version    int64
 	Lost       int // lines left out before
+
+	Part          string // of the daemon
+	Order         int64  // to move a service to a version
+	Target, Stage string
+	For, After    time.Duration // until its deadline, since it was heard of
 }
 
 // wireLine is a line as daemons write it.
@@ -75,6 +80,12 @@
 	CatalogAge int64  `json:"catalog_age_ms"`
 	Version    int64  `json:"version"`
 	Lost       int    `json:"lost"`
+	Part       string `json:"part"`
+	Order      int64  `json:"order"`
+	Target     string `json:"target"`
+	Stage      string `json:"stage"`
+	For        int64  `json:"for_ms"`
+	After      int64  `json:"after_ms"`
 }
 
 func millis(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
@@ -86,6 +97,7 @@
 		LoadAge: millis(w.LoadAge), Wait: millis(w.Wait), Read: millis(w.Read), Fresh: w.Fresh, Ending: w.Ending, Then: w.Then,
 		MayHaveRun: w.MayHaveRun, First: millis(w.First), Expected: millis(w.Expected), Code: w.Code, Ran: w.Ran,
 		Status: w.Status, RetryAfter: millis(w.RetryAfter), CatalogAge: millis(w.CatalogAge), Version: w.Version, Lost: w.Lost,
+		Part: w.Part, Order: w.Order, Target: w.Target, Stage: w.Stage, For: millis(w.For), After: millis(w.After),
 	}
 	if w.Time == "" {
 		return l, nil // of lines left out
