--- a/internal/soak/events.go
+++ b/internal/soak/events.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"syscall"
 	"time"
@@ -95,6 +96,10 @@
 			w.store.Forget()
 			return func() {}
 		}},
+		{"roll-out", false, func(w *world) func() {
+			w.rollOut()
+			return func() {}
+		}},
 		{"endpoint leaves", false, func(w *world) func() {
 			i := w.anyRunner()
 			w.enter(i, "draining")
@@ -155,6 +160,31 @@
 	w.putCatalog()
 }
 
+// rollOut orders a new version of the plain service, which is bad half of the time, and starts its
+// endpoints.
+func (w *world) rollOut() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	version := fmt.Sprintf("v%d", 2+len(w.later))
+	f := standin.RunnerFault{Lie: w.o.Lie}
+	if w.rng.IntN(2) == 0 {
+		f.FailEach = 2
+	}
+	order, err := json.Marshal(map[string]any{"service": "plain", "target_version": version, "duration_s": 2})
+	if err != nil {
+		panic(err) // texts and numbers always encode
+	}
+	w.store.Put(platform.CatalogTable, "", "rollout/plain", order)
+	for i := range 2 {
+		r, err := w.addVersion(fmt.Sprintf("i-%s-%d", version, i), version, f)
+		if err != nil {
+			w.say("%s does not start: %v", version, err)
+			return
+		}
+		w.later = append(w.later, r)
+	}
+}
+
 // enter writes an endpoint's entry in the store.
 func (w *world) enter(i int, state string) {
 	r, service := w.runners[i], "engines"
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -66,7 +66,9 @@
 
 	mu      sync.Mutex
 	runners []*standin.Runner
-	proxies []*Proxy // before the runners
+	proxies []*Proxy          // before the runners
+	later   []*standin.Runner // of versions that were ordered since
+	stray   *standin.Runner   // of a version that nobody orders
 	events  map[string]int
 	version int64
 	keys    []string
@@ -93,7 +95,10 @@
 	}
 	w.disturb(run)
 	w.wg.Wait()
-	ran := w.check.runs(w.runners)
+	ran := w.check.runs(append(append([]*standin.Runner{}, w.runners...), w.later...))
+	if n := len(w.stray.Ran()); n > 0 {
+		w.check.fail("a version that nobody has ordered ran %d requests", n)
+	}
 	w.check.duties(append(w.api.Calls("/usage"), w.api.Calls("/scale")...))
 	for _, d := range w.daemons {
 		if d.wasHungUp() {
@@ -147,7 +152,7 @@
 			}
 		}
 		if ready == len(w.daemons) {
-			return nil
+			return w.addStray()
 		}
 		time.Sleep(50 * time.Millisecond)
 	}
@@ -177,6 +182,25 @@
 	return nil
 }
 
+// addVersion starts an endpoint of the plain service with a version of its software.
+func (w *world) addVersion(id, version string, f standin.RunnerFault) (*standin.Runner, error) {
+	r, err := standin.NewRunner(seam.TCP{}, "127.0.0.1:0", id, 0, 10*time.Millisecond)
+	if err != nil {
+		return nil, errors.Wrap(err, "soak: runner")
+	}
+	r.Version = version
+	r.SetFault(f)
+	w.store.Put(platform.RunnerTable, "", id, r.Entry("plain", "a", "ready"))
+	return r, nil
+}
+
+// addStray starts an endpoint of a version that nobody orders. The daemons know the service's own by
+// then.
+func (w *world) addStray() (err error) {
+	w.stray, err = w.addVersion("i-stray", "v0", standin.RunnerFault{})
+	return err
+}
+
 // putCatalog writes the next version of the configuration.
 func (w *world) putCatalog() {
 	w.mu.Lock()
@@ -302,9 +326,12 @@
 	for _, p := range w.proxies {
 		p.Close()
 	}
-	for _, r := range w.runners {
+	for _, r := range append(append([]*standin.Runner{}, w.runners...), w.later...) {
 		r.Close()
 	}
+	if w.stray != nil {
+		w.stray.Close()
+	}
 	if w.store != nil {
 		w.store.Close()
 	}
