--- a/entry/rollout_test.go
+++ b/entry/rollout_test.go
@@ -162,7 +162,7 @@
 }
 
 func TestAGoodVersionIsCompleted(t *testing.T) {
-	for _, daemons := range []int{3, 16} {
+	for _, daemons := range []int{3, 16, 60} {
 		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
 			rolledOut(t, daemons, standin.RunnerFault{}, nil, func(w *world, ordered time.Time, old, young []*standin.Runner) {
 				state, target := w.status(plain)
@@ -212,6 +212,7 @@
 		"fails":                        {3, standin.RunnerFault{FailEach: 2}, nil},
 		"fails, 16 daemons":            {16, standin.RunnerFault{FailEach: 2}, nil},
 		"slow":                         {3, standin.RunnerFault{Slower: 4}, nil},
+		"fails, 60 daemons":            {60, standin.RunnerFault{FailEach: 2}, nil},
 		"fails as the store is down":   {3, standin.RunnerFault{FailEach: 2}, func(w *world) { w.storeDownFor(6 * time.Second) }},
 		"fails, 16, the store is down": {16, standin.RunnerFault{FailEach: 2}, func(w *world) { w.storeDownFor(6 * time.Second) }},
 	} {
