--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -101,6 +101,15 @@
 	}
 }
 
+// Unsent implements request.Trials.
+func (k *rolloutKeeper) Unsent(a request.TrialAsk) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if v := k.known[a.Service]; v != nil && v.running() {
+		v.share.Unsent(a.Ask)
+	}
+}
+
 // Still implements request.Trials.
 func (k *rolloutKeeper) Still(now time.Time, service string) bool {
 	k.mu.Lock()
--- a/request/server.go
+++ b/request/server.go
@@ -353,6 +353,7 @@
 func (r *run) refuse(err *code.Error) {
 	refused := !r.life.Tainted && r.life.on(eventRefuse)
 	if refused {
+		r.unsent()
 		r.Count.Refused.Add(1)
 	} else {
 		// Something has been sent: "not run" would be a lie.
--- a/request/trial.go
+++ b/request/trial.go
@@ -18,6 +18,8 @@
 	Take(now time.Time, a TrialAsk) bool
 	// Return takes back what Take has given, as no endpoint could take it.
 	Return(a TrialAsk)
+	// Unsent takes a request back that Take has counted, as it was sent nowhere.
+	Unsent(a TrialAsk)
 	// Still reports whether a request may go to the version on trial now.
 	Still(now time.Time, service string) bool
 	// Note takes in what came of an attempt.
@@ -153,6 +155,13 @@
 	return c, false
 }
 
+// unsent tells that a request which was counted is refused without having been sent.
+func (r *run) unsent() {
+	if r.drawn && r.attempts == 0 {
+		r.opts.Trials.Unsent(r.trialAsk())
+	}
+}
+
 // barred reports whether the chosen endpoint's version may not get this request any more.
 func (r *run) barred(now time.Time, t *Target) bool {
 	switch t.Role() {
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -110,8 +110,12 @@
 			}
 			asked++
 			a := rollout.Ask{Route: fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "route")), Expect: time.Second}
-			if buckets[i].Take(sinceStart(now), span, a) {
+			switch took := buckets[i].Take(sinceStart(now), span, a); {
+			case took:
 				given++
+			case rapid.IntRange(0, 2).Draw(t, "sent") == 0:
+				buckets[i].Unsent(a) // refused
+				asked--
 			}
 		}
 		if most := cap.Share*float64(asked) + float64(daemons)/2 + float64(restarts) + 1; float64(given) > most {
--- a/rollout/share.go
+++ b/rollout/share.go
@@ -51,6 +51,9 @@
 	Take(now time.Time, s Span, a Ask) bool
 	// Return takes back what Take has given, as no endpoint of the version could take it.
 	Return(a Ask)
+	// Unsent takes a request back that Take has counted, as it was sent nowhere: the cap is a
+	// share of what reaches the service.
+	Unsent(a Ask)
 }
 
 // Bucket is a Share by what this daemon itself has seen: for each request the cap's share of one
@@ -90,6 +93,9 @@
 	b.routes[a.Route]--
 }
 
+// Unsent implements Share.
+func (b *Bucket) Unsent(Ask) { b.seen-- }
+
 // due reports whether a request is to go to the version.
 func (b *Bucket) due(now time.Time, s Span, a Ask) bool {
 	switch {
@@ -142,3 +148,6 @@
 
 // Return implements Share.
 func (h *Hashed) Return(Ask) {}
+
+// Unsent implements Share.
+func (h *Hashed) Unsent(Ask) {}
