--- a/entry/rolloutnews.go
+++ b/entry/rolloutnews.go
@@ -36,11 +36,18 @@
 	return out
 }
 
-// again tells the neighbours how far orders have come, each second: a daemon that has missed the
-// word of a roll-back hears it, and one that hears nothing sends nothing to a version on trial.
+// again tells others how far orders have come, each second: a daemon that has missed the word of a
+// roll-back hears it, and one that hears nothing sends nothing to a version on trial. Where daemons
+// are many the readers tell each other, and the rest hear it with each answer of theirs: to tell all
+// neighbours cost each of 78 daemons 4.6 KB a second as two services moved.
 func (k *rolloutKeeper) again(now time.Time) {
-	if words := k.words(now, false); len(words) > 0 {
+	words := k.words(now, false)
+	switch {
+	case len(words) == 0:
+	case !k.d.many():
 		k.d.giveAll(k.d.Hub.Mesh.NeighbourNames(), conn.Payload{Orders: conn.Marshal(words)})
+	case k.d.isReader():
+		k.d.giveAll(k.d.roster().Beyond, conn.Payload{Orders: conn.Marshal(words)})
 	}
 }
 
