--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -17,8 +17,6 @@
 	// ones: with twice, three and four times, days with reclaims earned 0.556,
 	// 0.576 and 0.565 of their worth.
 	spareCost = 0.45
-	// runMost is how many zones are reckoned with to go within the start of an endpoint.
-	runMost = 2
 	// earlyShare is the part of the most that all zones may have which is ordered
 	// before the endpoints found at a first start can be counted: what they were
 	// then found with was a third to a half of it.
@@ -49,7 +47,6 @@
 	Coming  map[Kind]int   // that are ordered and still start
 	Enough  int            // endpoints that serve the load; less than 0 while it is not known
 	Dry     bool           // reclaimable endpoints were refused lately
-	Lost    int            // zones whose reclaimable endpoints have all gone lately
 	Idle    bool           // the system has just begun, and nothing is asked of the service yet
 	Early   bool           // the endpoints that it was found with are not counted yet
 	NoPrice bool           // twice the needed reclaimable ones at any price, for comparison
@@ -131,24 +128,19 @@
 
 // sure returns how many reclaimable endpoints are sure to be there while what is
 // ordered now starts. While none are to be had, that is without the zone with the
-// most of them, which may be the next to go; after two zones have gone, which shows
-// that they go in a run, without the two with the most.
+// most of them, which may be the next to go.
 func (s State) sure(zones []string, counts ...map[Kind]int) int {
-	sum := 0
-	var counted []int
+	sum, most := 0, 0
 	for _, z := range zones {
 		n := 0
 		for _, c := range counts {
 			n += c[Kind{z, true}]
 		}
 		sum += n
-		counted = append(counted, n)
+		most = max(most, n)
 	}
 	if s.Dry {
-		slices.Sort(counted)
-		for i := range min(max(s.Lost, 1), runMost, len(counted)) {
-			sum -= counted[len(counted)-1-i]
-		}
+		sum -= most
 	}
 	return sum
 }
--- a/entry/scale.go
+++ b/entry/scale.go
@@ -48,9 +48,6 @@
 	// servingAfter is from when on an endpoint that is listed is taken to serve
 	// though nothing of this daemon's was answered there.
 	servingAfter = 3 * time.Second
-	// lostFor is for how long a zone counts as lost lately: runs of reclaims were seen to take
-	// 4 to 10 s, and what is ordered at one serves after 5 s.
-	lostFor = 10 * time.Second
 	// noQueueUse is the share of their time that endpoints are to read prompts
 	// where no queueing is reckoned with.
 	noQueueUse = 0.55
@@ -76,7 +73,6 @@
 	dry     map[capacity.Kind]drySpell
 	hold    capacity.Hold
 	live    map[capacity.Kind]int // at the last look
-	lost    map[string]time.Time  // zones, and when their reclaimable endpoints had all gone
 	planned string                // the last plan that was written to the log
 }
 
@@ -168,11 +164,11 @@
 			x.d.log.WithFields(logrus.Fields{"part": "scale", "service": b.Name}).Warnf("first numbers: %v", err)
 			return
 		}
-		s = &serviceScale{base: base, ordered: make(map[capacity.Kind]scaleOrdered), lost: make(map[string]time.Time), dry: make(map[capacity.Kind]drySpell)}
+		s = &serviceScale{base: base, ordered: make(map[capacity.Kind]scaleOrdered), dry: make(map[capacity.Kind]drySpell)}
 		x.state[b.Name] = s
 	}
 	now := clock.Now()
-	s.forgetLost(now, live)
+	s.forgetLost(live)
 	for _, o := range x.plan(now, b, s, live, serving) {
 		if !s.due(now, o, live[o.Kind]) || x.d.rollouts.holdsEndpoints(b.Name) && o.Count < max(live[o.Kind], s.ordered[o.Kind].count) {
 			continue
@@ -201,7 +197,7 @@
 	state := capacity.State{
 		Limits: capacity.Limits(*b.Scaling), Found: s.base,
 		Live: live, Serving: serving, Coming: coming, Enough: -1,
-		Dry: s.refused(true), Lost: len(s.lost), Idle: !w.Seen && x.d.Site().First, Early: x.early(b.Name),
+		Dry: s.refused(true), Idle: !w.Seen && x.d.Site().First, Early: x.early(b.Name),
 		NoPrice: !on(mechanism.SpareByPrice), NoHold: !on(mechanism.MakeBeforeBreak),
 	}
 	load := x.load(b, w)
@@ -255,16 +251,12 @@
 
 // forgetLost forgets the orders of zones whose endpoints have just gone, so that
 // they are ordered again at once: a refusal tells early that none are to be had.
-func (s *serviceScale) forgetLost(now time.Time, live map[capacity.Kind]int) {
+func (s *serviceScale) forgetLost(live map[capacity.Kind]int) {
 	for k := range s.live {
 		if live[k] == 0 && s.live[k] > 0 {
 			delete(s.ordered, k)
-			if k.Reclaimable {
-				s.lost[k.Zone] = now
-			}
 		}
 	}
-	maps.DeleteFunc(s.lost, func(_ string, at time.Time) bool { return now.Sub(at) >= lostFor })
 	s.live = live
 }
 
