--- a/entry/rolloutcost_test.go
+++ b/entry/rolloutcost_test.go
@@ -3,7 +3,6 @@
 package entry_test
 
 import (
-	"fmt"
 	"net/http"
 	"os"
 	"strconv"
@@ -48,8 +47,8 @@
 			for k := range after {
 				sum += after[k] - before[k]
 			}
-			t.Log(fmt.Sprintf("%d daemons, ordered %t: %.0f bytes a second and daemon, processor time %.2f s in 10 s, %d failed",
-				daemons, ordered, float64(sum)/span.Seconds()/float64(daemons), took.Seconds(), failed))
+			t.Logf("%d daemons, ordered %t: %.0f bytes a second and daemon, processor time %.2f s in 10 s, %d failed",
+				daemons, ordered, float64(sum)/span.Seconds()/float64(daemons), took.Seconds(), failed)
 			for k := range conn.FrameKinds {
 				t.Logf("  %s: %.0f", conn.FrameKind(k), float64(after[k]-before[k])/span.Seconds()/float64(daemons))
 			}
