--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -10,8 +10,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"streambend.example/clock"
-	"streambend.example/platform"
 	"streambend.example/request"
 	"streambend.example/rollout"
 )
@@ -150,59 +148,6 @@
 	k.d.meters.tried(a.Service, side, t)
 }
 
-// usualTime is how long answers of the old version take on a route, beside what is expected of
-// each.
-type usualTime struct {
-	times float64 // as a multiple of what is expected
-	gap   float64 // seconds between two events
-	seen  int
-}
-
-const (
-	// slowTimes is from how many times the usual on an answer counts as slow: a version that is
-	// slower by several times passes it with nearly each answer, one of the old version with
-	// one in thirty (lognormal times of a spread of 0.3).
-	slowTimes = 1.75
-	// usualWeight is the weight of one answer in what is usual, and usualLeast how many answers
-	// make it known.
-	usualWeight = 0.05
-	usualLeast  = 5
-	// expectLeast is what an answer is expected to take at least.
-	expectLeast = 5 * time.Millisecond
-)
-
-// slow reports whether an answer took several times as long as the old version's do, and learns
-// from those.
-func (v *serviceVersions) slow(a request.TrialAnswer, isNew bool) bool {
-	if v.usual == nil {
-		v.usual = make(map[string]*usualTime)
-	}
-	u := v.usual[a.Route]
-	if u == nil {
-		u = &usualTime{}
-		v.usual[a.Route] = u
-	}
-	if a.Failed || a.Silent {
-		return false
-	}
-	expected := max(a.Expected, expectLeast).Seconds()
-	if a.Events > 1 {
-		expected += float64(a.Events-1) * u.gap
-	}
-	times := a.Took.Seconds() / expected
-	slow := u.seen >= usualLeast && times > slowTimes*u.times
-	if isNew {
-		return slow
-	}
-	weight := math.Max(usualWeight, 1/float64(u.seen+1))
-	u.seen++
-	if a.Events > 1 {
-		u.gap += weight * ((a.Took-a.First).Seconds()/float64(a.Events-1) - u.gap)
-	}
-	u.times += weight * (math.Min(times, 3*math.Max(u.times, 1)) - u.times)
-	return slow
-}
-
 // order takes in an order that was written by a time, and how far it has come as far as the teller
 // knows.
 func (k *rolloutKeeper) order(now, written time.Time, o rollout.Order, fact rollout.Fact) {
@@ -383,62 +328,3 @@
 		}
 	}
 }
-
-// takeRows takes in the operator's orders. Of a whole reading, what is missing was withdrawn.
-func (k *rolloutKeeper) takeRows(now time.Time, rows []platform.Row, whole bool) {
-	there := make(map[string]bool)
-	for _, r := range rows {
-		service, ok := platform.RolloutService(r)
-		if !ok {
-			continue
-		}
-		there[service] = !r.Removed
-		if r.Removed {
-			k.withdraw(service)
-			continue
-		}
-		o, err := platform.ReadRollout(r)
-		if err != nil {
-			k.d.log.WithFields(logrus.Fields{"part": "rollout", "service": service, "version": r.Version}).Warnf("order left out: %v", err)
-			k.d.meters.refused(codeOf(err))
-			continue
-		}
-		k.order(now, now, o, rollout.Fact{})
-	}
-	if !whole {
-		return
-	}
-	for _, service := range k.ordered() {
-		if !there[service] {
-			k.withdraw(service)
-		}
-	}
-}
-
-// ordered returns the services that have an order.
-func (k *rolloutKeeper) ordered() (out []string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	for name, v := range k.known {
-		if v.order.Number != 0 {
-			out = append(out, name)
-		}
-	}
-	return out
-}
-
-// withdraw notes that the operator has taken an order back: it is rolled back, unless it has ended.
-func (k *rolloutKeeper) withdraw(service string) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	v := k.known[service]
-	if v == nil || v.order.Number == 0 || v.gone {
-		return
-	}
-	v.gone = true
-	if v.running() {
-		f := v.fact
-		f.Stage, f.Why = rollout.RolledBack, "withdrawn"
-		k.advance(clock.Now(), service, v, f)
-	}
-}
--- a/request/target.go
+++ b/request/target.go
@@ -4,12 +4,10 @@
 
 import (
 	"math"
-	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 )
 
@@ -59,31 +57,6 @@
 // assumedShare is the load that a class stands for when no number is known.
 var assumedShare = [...]float64{0.5, 0.1, 0.5, 0.9, 1.3, 1}
 
-// Endpoint is what is known of an endpoint from the box list.
-type Endpoint struct {
-	ID          string // the box
-	Born        int64  // of this start, Unix milliseconds; 0 if not known
-	Service     string // partner/name
-	Version     string // of its software
-	Zone        string
-	Address     string // host:port
-	Reclaimable bool
-	Slots       int       // requests that it runs together; 0 if not known
-	Memory      int       // tokens that an engine keeps; 0 if not known
-	SlowUntil   time.Time // it is slow from its start until then; zero if it is not
-}
-
-// Start names the start of an endpoint: what was told of an earlier one, such as the prompts that
-// it keeps or that it has ended, is not taken for the present one's.
-func (e Endpoint) Start() string {
-	if e.Born == 0 {
-		return e.ID
-	}
-	return e.ID + "#" + strconv.FormatInt(e.Born, 10)
-}
-
-func (e Endpoint) hash() uint64 { return xxhash.Sum64String(e.Start()) }
-
 // Target is one start of an endpoint as this daemon sees it.
 type Target struct {
 	Endpoint
