--- a/entry/rollout_test.go
+++ b/entry/rollout_test.go
@@ -328,3 +328,32 @@
 		}
 	})
 }
+
+// Load: all daemons start anew after a version was completed, as the old endpoints are gone. What the
+// table says is read at once, not when some daemon has taken the lease of the duties.
+func TestAfterACompletedRollOutDaemonsThatStartServeAtOnce(t *testing.T) {
+	inZones(t, 3, []string{"a", "b"}, func(w *world) {
+		old := w.versions(plain, "v1", 3, 0, standin.RunnerFault{})
+		time.Sleep(4 * time.Second)
+		stop := w.load(150, http.MethodPost, "/write/")
+		w.order(plain, "v2", 5*time.Second)
+		w.versions(plain, "v2", 3, 0, standin.RunnerFault{})
+		time.Sleep(14 * time.Second)
+		stop()
+		state, _ := w.status(plain)
+		require.Equal(t, "completed", state)
+		for _, r := range old {
+			r.Close()
+			w.store.Drop(platform.RunnerTable, "", r.Instance)
+		}
+		time.Sleep(time.Second)
+		for i, d := range w.daemons {
+			d.Kill()
+			w.daemons[i] = w.startNamed(fmt.Sprintf("daemon-%d", i), i)
+		}
+		time.Sleep(400 * time.Millisecond)
+		for i := range 30 {
+			assert.Equal(t, http.StatusOK, w.ask(i%3, http.MethodPost, "/write/", fmt.Sprint("after-", i)).status)
+		}
+	})
+}
