--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -266,6 +266,7 @@
 	d.every(holdsAgain, d.Server.Holds.Again)
 	d.every(holdsAgain, d.rollouts.again)
 	d.every(judgePeriod, d.rollouts.judge)
+	d.every(tickPeriod, func(time.Time) { d.rollouts.load(d.ctx) })
 	d.every(tickPeriod, func(now time.Time) {
 		d.noteSleep()
 		d.Server.Works.Tick(now, len(d.Hub.Mesh.Members()))
--- a/entry/rolloutduty.go
+++ b/entry/rolloutduty.go
@@ -168,6 +168,36 @@
 	return nil
 }
 
+// load reads how far orders have come of which nothing else is known, once a daemon has counted the
+// others: all of few daemons do, or the readers, from whom the rest hear. As all daemons had started
+// anew after a completed order, the only version there was got nothing until one of them held the
+// lease of the duties.
+func (k *rolloutKeeper) load(ctx context.Context) {
+	if k.active.Load() == 0 || !k.d.contact.counted.Load() || k.d.many() && !k.d.isReader() {
+		return
+	}
+	for _, service := range k.unknown() {
+		row, err := k.d.duties.rollout.read(ctx, service)
+		if err != nil {
+			k.d.log.WithFields(logrus.Fields{"part": "rollout", "service": service}).Warnf("row of an order not read: %v", err)
+			continue
+		}
+		k.learn(clock.Now(), service, row.fact())
+	}
+}
+
+// unknown returns the services of whose order nothing else is known.
+func (k *rolloutKeeper) unknown() (out []string) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for name, v := range k.known {
+		if v.order.Number != 0 && v.fact.Stage == rollout.Unknown {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
 // state returns what the holder decides by. Of a service with several versions of its own the order
 // is for one of them all the same.
 func (k *rolloutKeeper) state(now time.Time, service string) (s rollout.State, f rollout.Fact, own []string, ok bool) {
--- a/internal/trial/rollout.go
+++ b/internal/trial/rollout.go
@@ -28,11 +28,11 @@
 
 // The figures of these trials.
 const (
-	rolloutFor      = 8 * time.Second // from the order to its deadline
-	rolloutEndpoint = 4               // of each version
-	rolloutRate     = 150             // requests a second
-	rolloutSettle   = 3 * time.Second // before the order and after its end
-	rolloutMost     = 30 * time.Second
+	rolloutFor       = 8 * time.Second // from the order to its deadline
+	rolloutEndpoints = 4               // of each version
+	rolloutRate      = 150             // requests a second
+	rolloutSettle    = 3 * time.Second // before the order and after its end
+	rolloutMost      = 30 * time.Second
 	// untriedShare and untriedSlack are what an untried version may get, and rollBackIn how long
 	// after its fiftieth bad answer it may get anything: what the settings of a daemon say if
 	// they say nothing.
@@ -115,10 +115,10 @@
 	if err := t.putCatalog(); err != nil {
 		return err
 	}
-	if t.old, err = t.start("v1", standin.RunnerFault{}); err != nil {
+	if t.old, err = t.start("v1", rolloutEndpoints, standin.RunnerFault{}); err != nil {
 		return err
 	}
-	t.say("starting %d daemons, and %d endpoints of version v1", t.o.Daemons, rolloutEndpoint)
+	t.say("starting %d daemons, and %d endpoints of version v1", t.o.Daemons, rolloutEndpoints)
 	log := logrus.New()
 	log.SetOutput(logs)
 	if level, err := logrus.ParseLevel(t.o.LogLevel); err == nil {
@@ -136,12 +136,9 @@
 		t.daemons = append(t.daemons, d)
 	}
 	time.Sleep(rolloutSettle)
-	stray, err := t.start("v0", standin.RunnerFault{})
+	strays, err := t.start("v0", 1, standin.RunnerFault{})
 	if err == nil {
-		t.stray = stray[0]
-		for _, r := range stray[1:] {
-			t.store.Drop(platform.RunnerTable, "", r.Instance)
-		}
+		t.stray = strays[0]
 	}
 	return err
 }
@@ -179,8 +176,8 @@
 )
 
 // start starts endpoints of a version, as the platform does.
-func (t *rolloutTrial) start(version string, f standin.RunnerFault) (out []*standin.Runner, err error) {
-	for i := range rolloutEndpoint {
+func (t *rolloutTrial) start(version string, count int, f standin.RunnerFault) (out []*standin.Runner, err error) {
+	for i := range count {
 		r, err := standin.NewRunner(t.net, "127.0.0.1:0", fmt.Sprintf("i-%s-%d", version, i), 0, 10*time.Millisecond)
 		if err != nil {
 			return nil, errors.Wrap(err, "trial: endpoint")
@@ -210,7 +207,7 @@
 		f.FailEach = 3
 	}
 	var err error
-	if t.young, err = t.start("v2", f); err != nil {
+	if t.young, err = t.start("v2", rolloutEndpoints, f); err != nil {
 		t.wrong("endpoints of v2 do not start: %v", err)
 		return
 	}
