--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -4,6 +4,7 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,7 @@
 	mu    sync.Mutex
 	known map[string]*serviceVersions
 	word  time.Time // when another daemon has last told of orders
+	kept  []int64   // orders whose answers are kept in the tallies
 }
 
 // serviceVersions is what is known of a service's versions. The order's fields are empty while
@@ -261,6 +263,23 @@
 			k.noteIdle(now, name, v)
 		}
 	}
+	k.forget(now)
+}
+
+// forget drops the answers counted for orders that have ended: tallies are told again and again. The
+// caller holds the lock.
+func (k *rolloutKeeper) forget(now time.Time) {
+	var keep []int64
+	for _, v := range k.known {
+		if v.running() || v.order.Number != 0 && now.Sub(v.since) < endedFor {
+			keep = append(keep, v.order.Number)
+		}
+	}
+	slices.Sort(keep)
+	if !slices.Equal(keep, k.kept) {
+		k.d.tallies.DropTrials(keep)
+		k.kept = keep
+	}
 }
 
 // noteIdle follows since when the old version has nothing to do, over all daemons.
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -186,3 +186,18 @@
 	assert.Equal(t, rollout.Bad, play(map[string]int64{"a": 2, "b": 2, "c": 2}))
 	assert.Equal(t, rollout.Good, play(map[string]int64{"a": 0, "b": 0, "c": 0}))
 }
+
+// A request may be taken back after another order has begun, with a share of its own.
+func TestWhatAnotherOrderGaveIsNotTakenBack(t *testing.T) {
+	var b rollout.Bucket
+	a := rollout.Ask{Route: "r"}
+	assert.NotPanics(t, func() { b.Return(a) })
+	b.Cap = rollout.Cap{Share: 0.5}
+	given := 0
+	for range 100 {
+		if b.Take(sinceStart(0), rollout.Span{Stage: rollout.Watching, Deadline: sinceStart(time.Minute)}, a) {
+			given++
+		}
+	}
+	assert.LessOrEqual(t, given, 50)
+}
--- a/rollout/share.go
+++ b/rollout/share.go
@@ -87,8 +87,11 @@
 	return true
 }
 
-// Return implements Share.
+// Return implements Share. What an earlier order's bucket has given is not this one's to take back.
 func (b *Bucket) Return(a Ask) {
+	if b.routes[a.Route] <= 0 {
+		return
+	}
 	b.given--
 	b.routes[a.Route]--
 }
