--- a/request/attempt.go
+++ b/request/attempt.go
@@ -112,7 +112,7 @@
 	if x == nil || x.WaitLimit == 0 || !r.opts.Without.On(mechanism.Admission) || r.attempts > 0 || !c.WaitsBeyond(x.WaitLimit) {
 		return nil
 	}
-	return code.New(code.Overloaded, "%s to read before it, %s at the most", c.Wait.Round(time.Millisecond), x.WaitLimit).
+	return code.New(code.Overloaded, "%s until it is begun, %s at the most", max(c.Wait, c.Place).Round(time.Millisecond), x.WaitLimit).
 		After(max(leastAfter, c.Wait))
 }
 
--- a/request/relay.go
+++ b/request/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -172,10 +173,12 @@
 type watchdog struct {
 	timer *time.Timer
 	stall time.Duration
+	over  *atomic.Bool // the attempt has ended, which the timer may not have heard of as it fires
 }
 
 func (w watchdog) stop() {
 	if w.timer != nil {
+		w.over.Store(true)
 		w.timer.Stop()
 	}
 }
@@ -196,11 +199,14 @@
 		return watchdog{}
 	}
 	wait := max(r.r.Route.Target.Duration, answerLeast) + c.First
-	w := watchdog{stall: max(stallTimes*x.Pause, stallLeast)}
+	w := watchdog{stall: max(stallTimes*x.Pause, stallLeast), over: new(atomic.Bool)}
 	var mu sync.Mutex // the timer is set before it can fire and be read
 	mu.Lock()
 	defer mu.Unlock()
 	w.timer = time.AfterFunc(wait, func() {
+		if w.over.Load() {
+			return
+		}
 		if r.work.Budget.TakeSpare(r.Now()) {
 			r.prepaid.Store(true)
 			cancel(errSilent)
