--- a/entry/quota.go
+++ b/entry/quota.go
@@ -39,6 +39,10 @@
 // of after 0.8 s, that is 4.6 s of the rate.
 const debtSeconds = 6
 
+// leastWait is the least time after which a caller that is over a limit is told to come back: of a
+// bucket that lacked a part of a unit it was none, and the answer had no Retry-After.
+const leastWait = time.Millisecond
+
 // shortShare is the share of a bucket below which its team is likely to be refused soon.
 const shortShare = 0.5
 
@@ -78,7 +82,7 @@
 	if b.level < need {
 		// By the rate of all daemons: the caller comes back to any of them, and a small
 		// share is one that is soon put right.
-		return time.Duration((need - b.level) / max(b.rate, 1) * float64(time.Second)), false
+		return max(time.Duration((need-b.level)/max(b.rate, 1)*float64(time.Second)), leastWait), false
 	}
 	b.level -= units
 	return 0, true
