--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -224,27 +224,36 @@
 	return r.sum <= -goodAt && evidence < doubtShare*needed
 }
 
+// routeCases are the cases of a service's routes, by name. The zero value is ready.
+type routeCases map[string]*routeCase
+
+// take takes in a route's counts, and returns its case.
+func (s *routeCases) take(now time.Time, name string, c Counts) *routeCase {
+	if *s == nil {
+		*s = make(routeCases)
+	}
+	r := (*s)[name]
+	if r == nil {
+		r = newRouteCase()
+		(*s)[name] = r
+	}
+	r.take(now, c.Old[name], c.New[name])
+	return r
+}
+
 // Voices is a Test by the answers' likelihood on each route, in which each endpoint has a bounded
 // say. The say is bounded below as well, so that a version that turns bad after it has been good
 // for a while is found as soon. The zero value is ready.
 type Voices struct {
-	routes map[string]*routeCase
+	routes routeCases
 }
 
 // Take implements Test.
 func (v *Voices) Take(now time.Time, c Counts) Finding {
-	if v.routes == nil {
-		v.routes = make(map[string]*routeCase)
-	}
 	f := Finding{Opinion: Good}
 	looked, excess, spread := 0, 0.0, 0.0
 	for name, old := range c.Old {
-		r := v.routes[name]
-		if r == nil {
-			r = newRouteCase()
-			v.routes[name] = r
-		}
-		r.take(now, old, c.New[name])
+		r := v.routes.take(now, name, c)
 		excess, spread = excess+r.beyond(), spread+r.spread
 		switch {
 		case r.bad():
@@ -281,22 +290,14 @@
 // the same errors and no memory of what came first. Whatever befalls one endpoint counts for the
 // version. The zero value is ready.
 type Pooled struct {
-	routes map[string]*routeCase
+	routes routeCases
 }
 
 // Take implements Test.
 func (p *Pooled) Take(now time.Time, c Counts) Finding {
-	if p.routes == nil {
-		p.routes = make(map[string]*routeCase)
-	}
 	f := Finding{Opinion: Good}
 	for name, old := range c.Old {
-		r := p.routes[name]
-		if r == nil {
-			r = newRouteCase()
-			p.routes[name] = r
-		}
-		r.take(now, old, c.New[name])
+		r := p.routes.take(now, name, c)
 		if r.sum >= badAt {
 			return Finding{Bad, name, r.text()}
 		}
