--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -340,7 +340,7 @@
 			continue
 		}
 		f := v.fact
-		f.Stage, f.Why = rollout.RolledBack, v.finding.Route+": "+v.finding.Why
+		f.Stage, f.Why = rollout.RolledBack, v.finding.Reason()
 		k.d.log.WithFields(logrus.Fields{"part": "rollout", "service": name, "target": f.Target, "order": f.Number}).Warnf("version is bad: %s", f.Why)
 		if k.advance(now, name, v, f) {
 			go k.tellAll(name, v.order, v.heard, f)
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -46,6 +46,9 @@
 	Why     string
 }
 
+// Reason returns the route and what was seen on it.
+func (f Finding) Reason() string { return f.Route + ": " + f.Why }
+
 // Test judges a new version by counts that come again and again.
 type Test interface {
 	Take(now time.Time, c Counts) Finding
--- a/rollout/next.go
+++ b/rollout/next.go
@@ -43,11 +43,11 @@
 	case s.Gone:
 		return RolledBack, "withdrawn"
 	case s.Finding.Opinion == Bad:
-		return RolledBack, s.Finding.Route + ": " + s.Finding.Why
+		return RolledBack, s.Finding.Reason()
 	case s.Ready == 0 && now.After(s.Deadline.Add(emptyFor)):
 		return RolledBack, "no endpoint of the version has come"
 	case s.Ready > 0 && s.Finding.Opinion != Good && now.After(s.Deadline.Add(doubtFor)):
-		return RolledBack, "not found to be good in time: " + s.Finding.Route + ": " + s.Finding.Why
+		return RolledBack, "not found to be good in time: " + s.Finding.Reason()
 	case s.Stage == Watching && s.Finding.Opinion == Good && s.Ready >= s.Enough:
 		return Shifting, "as good as the old version on each route"
 	case s.Stage == Shifting && s.Finding.Opinion == Good && s.idle(now) && s.Ready >= s.Enough:
