--- a/rollout/share.go
+++ b/rollout/share.go
@@ -129,28 +129,3 @@
 func (b *Bucket) even(a Ask) bool {
 	return b.routes[a.Route] <= b.given/float64(len(b.routes))+evenLead
 }
-
-// Hashed is a Share by a fixed part of the requests, drawn by a hash of each: nothing is
-// counted. What is not spent while endpoints start is lost, and each route gets its share of the
-// traffic, so that a rare one is seen least.
-type Hashed struct {
-	Cap  Cap
-	Draw func() float64 // of the request, even between 0 and 1
-}
-
-// Take implements Share.
-func (h *Hashed) Take(now time.Time, s Span, _ Ask) bool {
-	switch {
-	case s.Stage == Shifting && !s.Capped(now):
-		return true
-	case s.Stage == Watching, s.Stage == Shifting:
-		return h.Draw() < h.Cap.Share
-	}
-	return false
-}
-
-// Return implements Share.
-func (h *Hashed) Return(Ask) {}
-
-// Unsent implements Share.
-func (h *Hashed) Unsent(Ask) {}
--- a/rollout/sim_test.go
+++ b/rollout/sim_test.go
@@ -282,3 +282,25 @@
 	}
 	return n
 }
+
+// hashed is a Share by a fixed part of the requests, drawn by a hash of each: nothing is
+// counted. What is not spent while endpoints start is lost, and each route gets its share of the
+// traffic, so that a rare one is seen least. The table compares it with the bucket.
+type hashed struct {
+	cap  rollout.Cap
+	draw func() float64 // of the request, even between 0 and 1
+}
+
+func (h *hashed) Take(now time.Time, s rollout.Span, _ rollout.Ask) bool {
+	switch {
+	case s.Stage == rollout.Shifting && !s.Capped(now):
+		return true
+	case s.Stage == rollout.Watching, s.Stage == rollout.Shifting:
+		return h.draw() < h.cap.Share
+	}
+	return false
+}
+
+func (h *hashed) Return(rollout.Ask) {}
+
+func (h *hashed) Unsent(rollout.Ask) {}
