entry: a failed world keeps its log; what is found of a version on trial is logged

Neither known failure could be traced, as nothing was kept of a world that failed: what its daemons had logged, and which answers callers got. A world of the tests that fails now writes both where they can be read after the run (streambend-failed-worlds in the folder for temporary files). The daemons' log lacked what the answers of a version on trial said so far: it is written as the opinion changes, and each 2 s of an order.

--- a/entry/rollouts.go
+++ b/entry/rollouts.go
@@ -19,6 +19,8 @@
 	// judgePeriod is how often the answers of a version that is rolled out are looked at; what
 	// other daemons have counted comes every 150 to 450 ms.
 	judgePeriod = 250 * time.Millisecond
+	// findingPause is the time between two log lines of a finding that has not changed.
+	findingPause = 2 * time.Second
 	// orderLife is how old the last word of another daemon on orders may be for requests to go to
 	// a version on trial: such words come each second, and a version that has been rolled back
 	// may get nothing from 5 s after its 50th bad answer on.
@@ -52,6 +54,7 @@
 	share   *rollout.Bucket
 	test    *rollout.Voices
 	finding rollout.Finding
+	logged  time.Time // when the finding was logged last
 	idle    time.Time // since when the old version has nothing to do; zero while it has
 	usual   map[string]*usualTime
 }
@@ -173,7 +176,7 @@
 	v.order, v.heard, v.gone, v.since = o, written, false, now
 	v.fact = rollout.Fact{Number: o.Number, Target: o.Target}
 	v.share, v.test = &rollout.Bucket{Cap: cap, Lead: k.lead()}, &rollout.Voices{}
-	v.finding, v.idle, v.usual = rollout.Finding{}, time.Time{}, nil
+	v.finding, v.logged, v.idle, v.usual = rollout.Finding{}, time.Time{}, time.Time{}, nil
 	k.d.log.WithFields(logrus.Fields{
 		"part": "rollout", "service": o.Service, "target": o.Target, "order": o.Number, "for_ms": o.For.Milliseconds(),
 		"age_ms": now.Sub(written).Milliseconds(), "own": v.own,
@@ -335,7 +338,14 @@
 		if !v.running() {
 			continue
 		}
+		before := v.finding.Opinion
 		v.finding = v.test.Take(now, k.d.tallies.Trials(v.order.Number))
+		if v.finding.Opinion != before || now.Sub(v.logged) >= findingPause {
+			v.logged = now
+			k.d.log.WithFields(logrus.Fields{
+				"part": "rollout", "service": name, "order": v.order.Number, "opinion": v.finding.Opinion.String(), "why": v.finding.Reason(),
+			}).Info("answers of a version judged")
+		}
 		if v.finding.Opinion != rollout.Bad {
 			continue
 		}
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -17,7 +17,6 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"streambend.example/entry"
@@ -53,6 +52,7 @@
 	connect  atomic.Int64             // how long a connection to an endpoint takes to open, nanoseconds
 	born     time.Time
 	apart    atomic.Pointer[string] // the daemon that is cut off from the others alone; nil for none
+	log      worldLog
 }
 
 // The service names, hosts and keys of a world.
@@ -82,6 +82,7 @@
 // inWorldOf is inWorld with a world that was changed before its daemons start.
 func inWorldOf(t *testing.T, daemons int, change, f func(w *world)) {
 	t.Helper()
+	outer := t // by which some checks of f fail
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		change(w)
@@ -99,7 +100,11 @@
 		}
 		time.Sleep(2 * time.Second)
 		synctest.Wait()
+		before := outer.Failed() // in an earlier world of the same test
 		f(w)
+		if !before && (t.Failed() || outer.Failed()) {
+			w.log.keep(outer)
+		}
 		w.close()
 	})
 }
@@ -167,8 +172,6 @@
 
 func (w *world) startNamed(name string, i int) *entry.Daemon {
 	site := w.site(name, i)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
 	ctx, cancel := context.WithCancel(w.t.Context())
 	w.cut = append(w.cut, cancel)
 	n := seam.Network(w.net)
@@ -176,7 +179,7 @@
 		w.links[name] = standin.NewLink(w.rateOf(i))
 		n = w.links[name].Over(n)
 	}
-	d, err := entry.New(site, named{n, ctx, name, w}, log, 0)
+	d, err := entry.New(site, named{n, ctx, name, w}, w.log.of(name), 0)
 	require.NoError(w.t, err)
 	return d
 }
@@ -271,6 +274,14 @@
 	for i := 0; i+1 < len(header); i += 2 {
 		req.Header.Set(header[i], header[i+1])
 	}
+	a := w.answerOf(req)
+	if a.err != nil || a.status != http.StatusOK {
+		w.log.caller(daemon, id, a)
+	}
+	return a
+}
+
+func (w *world) answerOf(req *http.Request) answer {
 	resp, err := w.client.Do(req)
 	if err != nil {
 		return answer{err: err}
--- /dev/null
+++ b/entry/worldlog_test.go
@@ -0,0 +1,91 @@
+// SPDX-License-Identifier: MIT
+
+package entry_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+)
+
+// worldLogLines bounds the lines that a world keeps, the newest of them.
+const worldLogLines = 400_000
+
+// worldLog keeps what the daemons of a world log and which answers were no success, so that a
+// world that fails can be explained afterwards.
+type worldLog struct {
+	mu    sync.Mutex
+	lines []string
+	next  int // where the next line goes once the log is full
+}
+
+// Write implements io.Writer.
+func (l *worldLog) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.lines) < worldLogLines {
+		l.lines = append(l.lines, string(b))
+		return len(b), nil
+	}
+	l.lines[l.next] = string(b)
+	l.next = (l.next + 1) % worldLogLines
+	return len(b), nil
+}
+
+// of returns the logger of a daemon.
+func (l *worldLog) of(daemon string) *logrus.Logger {
+	log := logrus.New()
+	log.SetOutput(l)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "15:04:05.000"})
+	log.AddHook(daemonHook(daemon))
+	return log
+}
+
+// daemonHook names the daemon in each line.
+type daemonHook string
+
+// Levels implements logrus.Hook.
+func (daemonHook) Levels() []logrus.Level { return logrus.AllLevels }
+
+// Fire implements logrus.Hook.
+func (h daemonHook) Fire(e *logrus.Entry) error {
+	e.Data["daemon"] = string(h)
+	return nil
+}
+
+// caller notes an answer that was no success.
+func (l *worldLog) caller(daemon int, id string, a answer) {
+	l.of("caller").WithFields(logrus.Fields{
+		"at": daemon, "request": id, "status": a.status, "body": a.body, "error": a.err, "retry_after": a.header.Get("Retry-After"),
+	}).Warn("answer is no success")
+}
+
+// keep writes the log where it can be read after the run, and says where.
+func (l *worldLog) keep(t *testing.T) {
+	dir := filepath.Join(os.TempDir(), "streambend-failed-worlds")
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		t.Logf("log of the world not kept: %v", err)
+		return
+	}
+	name := fmt.Sprintf("%s-*.log", strings.NewReplacer("/", "-", " ", "_", ",", "").Replace(t.Name()))
+	f, err := os.CreateTemp(dir, name)
+	if err != nil {
+		t.Logf("log of the world not kept: %v", err)
+		return
+	}
+	defer f.Close()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range l.lines {
+		if _, err := f.WriteString(l.lines[(l.next+i)%len(l.lines)]); err != nil {
+			t.Logf("log of the world is cut: %v", err)
+			return
+		}
+	}
+	t.Logf("log of the world: %s", f.Name())
+}
