rollout: bad answers of one endpoint count against its version unless the others show that they lack them

What callers saw: a bad version was not rolled back.

Cause: each endpoint has a bounded say (4.0), the evidence needed grows with the endpoints that have answered (3.5 each), and the bad answers of the worst one were left out of the sum as a fault of its own. Where one endpoint has given an answer or two and another all the rest, neither can reach what is needed, whatever the other answers.

Change: the worst endpoint's bad answers are left out only where the answers of the others would be 100 times less likely if they failed as often. Why it holds: those who could clear the version are asked for what they have shown; without it 15 bad answers beyond the old version's rate end it, below the 50 after which the time runs.

--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -90,8 +90,8 @@
 	// spanWhole is how many answers of the whole time weigh into those of a span.
 	spanWhole = 10
 	// excessMost is the number of bad answers beyond the old version's rate at which a
-	// version is rolled back whatever the endpoints say, but for the worst of them: a third of
-	// those after which the time runs in which it must get nothing more. It finds versions
+	// version is rolled back whatever the endpoints say, but for the worst of them if the others
+	// show that its fault is its own: a third of those after which the time runs in which it must get nothing more. It finds versions
 	// that are bad less often than worse returns.
 	excessMost = 15
 	// excessSpread is by how many standard deviations that must be beyond chance.
@@ -158,6 +158,7 @@
 // routeCase is the evidence on one route.
 type routeCase struct {
 	old    past
+	rate   float64            // the old version's share of bad answers
 	sum    float64            // towards bad, bounded below
 	voices map[string]float64 // by endpoint, bounded both ways
 	known  map[string]Tally   // of each endpoint, as last taken in
@@ -172,8 +173,8 @@
 // take takes in what has come since.
 func (r *routeCase) take(now time.Time, old Tally, endpoints map[string]Tally) {
 	r.old.add(now, old)
-	p := r.old.rate(now)
-	q := worse(p)
+	r.rate = r.old.rate(now)
+	p, q := r.rate, worse(r.rate)
 	for e, t := range endpoints {
 		news := t.Sub(r.known[e])
 		if news.Whole <= 0 {
@@ -208,19 +209,35 @@
 }
 
 // beyond returns the bad answers beyond the old version's rate, without those of the worst of
-// several endpoints.
+// several endpoints where the fault is shown to be its own.
 func (r *routeCase) beyond() (sum float64) {
-	worst := 0.0
-	for _, x := range r.excess {
+	worst := ""
+	for e, x := range r.excess {
 		sum += x
-		worst = math.Max(worst, x)
+		if worst == "" || x > r.excess[worst] {
+			worst = e
+		}
 	}
-	if len(r.excess) > 1 {
-		sum -= worst
+	if x := r.excess[worst]; x > 0 && r.alone(worst) {
+		sum -= x
 	}
 	return sum
 }
 
+// alone reports whether the answers of the other endpoints show that they do not fail as often as an
+// endpoint. Where they have hardly answered, its fault may be the version's.
+func (r *routeCase) alone(endpoint string) bool {
+	var others Tally
+	for e, t := range r.known {
+		if e != endpoint {
+			others = others.Add(t)
+		}
+	}
+	t := r.known[endpoint]
+	q := math.Max(worse(r.rate), math.Min(worstRate, float64(t.Bad)/float64(t.Whole)))
+	return weigh(others, r.rate, q) <= -goodAt
+}
+
 // good reports whether the route shows that it is no worse than the old one.
 func (r *routeCase) good() bool {
 	evidence, needed := r.against()
--- a/rollout/rollout_test.go
+++ b/rollout/rollout_test.go
@@ -187,6 +187,30 @@
 	assert.Equal(t, rollout.Good, play(map[string]int64{"a": 0, "b": 0, "c": 0}))
 }
 
+// What callers saw: a bad version was not rolled back, and half of a fifth of their requests failed
+// for as long as the order ran.
+//
+// Order of events: a second endpoint gave an answer or two before the version's endpoints in use
+// changed; from then on all answers came from one endpoint.
+//
+// Cause: an endpoint's say is bounded, and the worst one's bad answers were left out as its own fault,
+// though the others had not shown that they lack it. Evidence: 1 answer of one endpoint and 641 of the
+// other, half of them bad, with the evidence at 4 of the 7 that two endpoints need.
+func TestABadVersionIsFoundThoughNearlyAllItsAnswersComeFromOneEndpoint(t *testing.T) {
+	const bad = 50 // by then it has to be found
+	for _, first := range []rollout.Tally{{Whole: 1}, {Whole: 2}, {Whole: 2, Bad: 1}, {Whole: 1, Bad: 1}} {
+		var v rollout.Voices
+		f := rollout.Finding{}
+		for i := int64(1); i <= bad && f.Opinion != rollout.Bad; i++ {
+			f = v.Take(sinceStart(time.Duration(i)*250*time.Millisecond), rollout.Counts{
+				Old: map[string]rollout.Tally{"r": {Whole: 20 * i}},
+				New: map[string]map[string]rollout.Tally{"r": {"a": first, "b": {Whole: 2 * i, Bad: i}}},
+			})
+		}
+		assert.Equal(t, rollout.Bad, f.Opinion, "a gave %+v: %s", first, f.Reason())
+	}
+}
+
 // A request may be taken back after another order has begun, with a share of its own.
 func TestWhatAnotherOrderGaveIsNotTakenBack(t *testing.T) {
 	var b rollout.Bucket
