request: requests that may not be repeated are spread over endpoints alike in load

What callers saw: nothing directly; all requests that may not be repeated ran at the first of a service's endpoints by name, at all daemons, and a version on trial was judged by one endpoint.

Cause: chooseSettled took the first of the least loaded, and each of 16 daemons, with at most one request under way, sees no load at any. Evidence: the kept log of TestABadVersionIsRolledBack: 2,741 of 2,741 answers of the old version came from the first of its four endpoints.

Change: the request's draw decides among endpoints alike in load, as it does for requests that may be repeated; both ways now use one loop.

The test failed before: 400 of 400 at one endpoint of four.

--- a/entry/rollout_test.go
+++ b/entry/rollout_test.go
@@ -139,11 +139,14 @@
 	})
 }
 
-// rolledOut plays an order among some daemons.
-func rolledOut(t *testing.T, daemons int, fault standin.RunnerFault, more func(w *world), check func(w *world, ordered time.Time, old, young []*standin.Runner)) {
+// rolledOut plays an order among some daemons; before is called before it and more after.
+func rolledOut(t *testing.T, daemons int, fault standin.RunnerFault, before, more func(w *world), check func(w *world, ordered time.Time, old, young []*standin.Runner)) {
 	const length = 8 * time.Second
 	inZones(t, daemons, []string{"a", "b"}, func(w *world) {
 		old := w.versions(plain, "v1", 4, 0, standin.RunnerFault{})
+		if before != nil {
+			before(w)
+		}
 		time.Sleep(4 * time.Second)
 		stop := w.load(200, http.MethodPost, "/write/", "/write/")
 		time.Sleep(time.Second)
@@ -164,7 +167,7 @@
 func TestAGoodVersionIsCompleted(t *testing.T) {
 	for _, daemons := range []int{3, 16, 60} {
 		t.Run(fmt.Sprint(daemons), func(t *testing.T) {
-			rolledOut(t, daemons, standin.RunnerFault{}, nil, func(w *world, ordered time.Time, old, young []*standin.Runner) {
+			rolledOut(t, daemons, standin.RunnerFault{}, nil, nil, func(w *world, ordered time.Time, old, young []*standin.Runner) {
 				state, target := w.status(plain)
 				assert.Equal(t, "completed", state)
 				assert.Equal(t, "v2", target)
@@ -217,7 +220,7 @@
 		"fails, 16, the store is down": {16, standin.RunnerFault{FailEach: 2}, func(w *world) { w.storeDownFor(6 * time.Second) }},
 	} {
 		t.Run(name, func(t *testing.T) {
-			rolledOut(t, tc.daemons, tc.fault, tc.more, func(w *world, ordered time.Time, old, young []*standin.Runner) {
+			rolledOut(t, tc.daemons, tc.fault, nil, tc.more, func(w *world, ordered time.Time, old, young []*standin.Runner) {
 				state, target := w.status(plain)
 				assert.Equal(t, "rolled_back", state)
 				assert.Equal(t, "v2", target)
@@ -230,6 +233,26 @@
 	}
 }
 
+// Which endpoints a version on trial uses follows from the number of its order: in some worlds all answers
+// but one or two come from one endpoint, by which it could not be judged.
+func TestABadVersionIsRolledBackWhateverItsOrdersNumber(t *testing.T) {
+	for writes := range 8 {
+		t.Run(fmt.Sprintf("%d writes before it", writes), func(t *testing.T) {
+			before := func(w *world) {
+				for i := range writes {
+					w.store.Put("another table", "", fmt.Sprint(i), nil)
+				}
+			}
+			down := func(w *world) { w.storeDownFor(6 * time.Second) }
+			rolledOut(t, 3, standin.RunnerFault{FailEach: 2}, before, down, func(w *world, _ time.Time, _, young []*standin.Runner) {
+				state, _ := w.status(plain)
+				assert.Equal(t, "rolled_back", state)
+				goneBy(t, young, func(i int) bool { return i%2 == 0 })
+			})
+		})
+	}
+}
+
 // storeDownFor takes the store away once endpoints have been found, for a while.
 func (w *world) storeDownFor(d time.Duration) {
 	time.Sleep(500 * time.Millisecond)
--- a/request/route.go
+++ b/request/route.go
@@ -155,15 +155,22 @@
 	return Choice{}, false
 }
 
-func chooseLeast(all []*Target, n Need, why string) (Choice, bool) {
-	var best *Target
+// leastLoaded returns the least loaded endpoint of those that take work and that f admits; nil if there
+// is none. Of several alike the draw decides: each of many daemons sees no load of its own at any, and
+// by name all of them would choose the same one.
+func leastLoaded(all []*Target, n Need, f func(*Target) bool) (best *Target) {
 	start := pick(n.Draw, len(all))
 	for i := range all {
 		t := all[(start+i)%len(all)]
-		if t.open(n) && (best == nil || t.weighted() < best.weighted()) {
+		if f(t) && t.open(n) && (best == nil || t.weighted() < best.weighted()) {
 			best = t
 		}
 	}
+	return best
+}
+
+func chooseLeast(all []*Target, n Need, why string) (Choice, bool) {
+	best := leastLoaded(all, n, func(*Target) bool { return true })
 	if best == nil {
 		return Choice{}, false
 	}
@@ -211,12 +218,7 @@
 // is below the bound.
 func chooseSettled(l *poolList, n Need) (Choice, bool) {
 	bound := loadBound(l, n)
-	var best *Target
-	for _, t := range l.all {
-		if !t.Reclaimable && t.open(n) && int(t.load.Load()) <= bound && (best == nil || t.weighted() < best.weighted()) {
-			best = t
-		}
-	}
+	best := leastLoaded(l.all, n, func(t *Target) bool { return !t.Reclaimable && int(t.load.Load()) <= bound })
 	if best == nil {
 		return Choice{}, false
 	}
--- a/request/route_test.go
+++ b/request/route_test.go
@@ -158,6 +158,31 @@
 	assert.Equal(t, far, c.Target)
 }
 
+// What callers saw: requests that may not be repeated all ran at one endpoint of four, and a version on
+// trial was judged by one endpoint alone.
+//
+// Order of events: each of 16 daemons has at most one request under way, and sees no load at any endpoint.
+//
+// Cause: of endpoints with the same load the first by name was chosen. Evidence: 2,741 of 2,741 answers of
+// the old version came from the first of its four endpoints.
+func TestRequestsThatMayNotBeRepeatedAreSpread(t *testing.T) {
+	const endpoints, requests = 4, 400
+	p := request.NewPool("office/portal", "silom", 16)
+	for i := range endpoints {
+		p.Add(request.Endpoint{ID: fmt.Sprint("box-", i), Zone: "silom"})
+	}
+	got := make(map[string]int)
+	for i := range uint64(requests) {
+		c, ok := p.Route(start, request.Need{Plain: true, Settled: true, Draw: i * 0x9e3779b97f4a7c15})
+		assert.True(t, ok)
+		got[c.Target.ID]++
+	}
+	for id, n := range got {
+		assert.InDelta(t, requests/endpoints, n, requests/endpoints/2, id)
+	}
+	assert.Len(t, got, endpoints)
+}
+
 // BenchmarkPoolMemory holds the view of 2,500 endpoints, with as many prefixes
 // remembered as are kept.
 func BenchmarkPoolMemory(b *testing.B) {
