entry: the store holds no question beyond the moment from which what is held is late

What callers saw: as one daemon was cut off from the others alone, time after time, it turned requests away with 503, nearly all 1112, though the store answered it all the time.

Cause: a daemon that others read for asks the store itself once all of them have failed to answer, or once its list of endpoints is late (1.45 s of a bound of 1.7 s). Asked at an age of 1.0 to 1.45 s, the store held the question for the usual 0.7 s, as nothing changed, and the list passed its bound meanwhile.

Change: FeedWait bounds the wait by what is left until the list or the catalog is late; from then on the store answers at once. The catalog had the same fault. A daemon that follows the store anyway asks at an age of next to nothing, so it makes no more calls.

--- a/entry/age_test.go
+++ b/entry/age_test.go
@@ -247,3 +247,18 @@
 		assert.Len(t, now.Ran(), len(w.daemons))
 	})
 }
+
+// Load: a daemon that others have read for until now asks the store for itself, with a list that is
+// already a good part of its bound old.
+func TestTheStoreHoldsNoQuestionUntilWhatIsHeldIsLate(t *testing.T) {
+	const bound, most = 1700 * time.Millisecond, 700 * time.Millisecond
+	for age := time.Duration(0); age < 3*time.Second; age += 10 * time.Millisecond {
+		wait := entry.FeedWait(age, bound, most)
+		assert.GreaterOrEqual(t, wait, time.Duration(0))
+		assert.LessOrEqual(t, wait, most)
+		if age < bound {
+			assert.Less(t, age+wait, bound, "asked at the age of %s", age)
+		}
+	}
+	assert.Equal(t, most, entry.FeedWait(0, bound, most))
+}
--- a/entry/catalog.go
+++ b/entry/catalog.go
@@ -107,13 +107,14 @@
 
 // wait is how long the store holds the question for changes.
 func (k *catalogKeeper) wait() time.Duration {
-	if age, ok := k.fresh.Age(clock.Now()); ok && late(age, k.d.Site().Bounds.Configuration) {
-		return 0 // what counts is to know that the catalog is still the newest
-	}
+	most := patientWait
 	if k.d.Site().Bounds.StrictRevocation || !k.d.without.On(mechanism.PatientFeed) {
-		return catalogWait
+		most = catalogWait
+	}
+	if age, ok := k.fresh.Age(clock.Now()); ok {
+		return FeedWait(age, k.d.Site().Bounds.Configuration, most)
 	}
-	return patientWait
+	return most
 }
 
 // follow keeps up with the store until ctx ends.
--- /dev/null
+++ b/entry/cutseries_test.go
@@ -0,0 +1,85 @@
+// SPDX-License-Identifier: MIT
+
+package entry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"streambend.example/internal/standin"
+)
+
+// cut is one of a series: a daemon is cut off from the others alone, and back for a while.
+type cut struct{ off, back time.Duration }
+
+// cutInSeries cuts a daemon off several times, under load at all daemons, and checks that all are served.
+func (w *world) cutInSeries(t *testing.T, gone int, series []cut) {
+	all := upTo(len(w.daemons))
+	var answers []answer
+	for _, c := range series {
+		w.apart.Store(&w.daemons[gone].Self.Name)
+		answers = append(answers, w.demand(all, 60, c.off, w.askStream)...)
+		w.apart.Store(nil)
+		answers = append(answers, w.demand(all, 60, c.back, w.askStream)...)
+	}
+	for i, a := range answers {
+		assert.Equal(t, http.StatusOK, a.status, "request %d: %s %v", i, a.body, a.err)
+	}
+}
+
+// What callers saw: as one daemon was cut off from the others a third time, it turned away one or two of
+// their requests with 503, though the store answered it all the time.
+//
+// Order of events: the daemon, for which others had read the store, notes that none of them answers and
+// asks the store itself, at an age of its list of endpoints of 1.2 s. The store holds the question for
+// 0.7 s, as nothing changes; meanwhile the list passes its bound of 1.7 s, and nothing may be chosen by it.
+//
+// Cause: the time for which the store may hold a question did not heed how old the list was already.
+// Evidence: "readiness changed" with endpoints_age_ms 1719 just before each refusal, all at the daemon that
+// is cut off, 1.1 to 1.3 s into the cut.
+func TestCallersAreServedAsADaemonIsCutOffInSeries(t *testing.T) {
+	for _, gone := range []int{1, 4, 6} {
+		t.Run(fmt.Sprint("daemon ", gone), func(t *testing.T) {
+			inLimited(t, 9, func(w *world, _ *standin.Runner) {
+				c := cut{2600 * time.Millisecond, 1300 * time.Millisecond}
+				w.cutInSeries(t, gone, []cut{c, c, c})
+			})
+		})
+	}
+}
+
+// drawnCuts plays a series of cuts that follows from a seed.
+func drawnCuts(t *testing.T, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 1))
+	daemons := 3 + r.IntN(14)
+	gone := r.IntN(daemons)
+	series := make([]cut, 2+r.IntN(4))
+	for i := range series {
+		series[i] = cut{time.Duration(300+r.IntN(3700)) * time.Millisecond, time.Duration(200+r.IntN(2000)) * time.Millisecond}
+	}
+	t.Logf("%d daemons, daemon %d cut off: %v", daemons, gone, series)
+	delay := time.Duration(r.IntN(40)) * time.Millisecond // of the store's answers
+	inLimited(t, daemons, func(w *world, _ *standin.Runner) {
+		w.store.SetFault(standin.RowsFault{Delay: delay})
+		w.cutInSeries(t, gone, series)
+	})
+}
+
+// Series of cuts drawn from seeds; SEEDS says how many are played, FIRST the first of them.
+func TestCallersAreServedThroughDrawnCuts(t *testing.T) {
+	seeds, err := strconv.ParseUint(os.Getenv("SEEDS"), 10, 64)
+	if err != nil {
+		seeds = 3
+	}
+	first, _ := strconv.ParseUint(os.Getenv("FIRST"), 10, 64)
+	for seed := first; seed < first+seeds; seed++ {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { drawnCuts(t, seed) })
+	}
+}
--- a/entry/outage.go
+++ b/entry/outage.go
@@ -170,8 +170,18 @@
 
 // late reports whether what a daemon holds has come close to a bound, so that it
 // looks for something younger by every way.
-func late(age, bound time.Duration) bool {
-	return age > min(peerAge, time.Duration(nearShare*float64(bound)))
+func late(age, bound time.Duration) bool { return age > lateAt(bound) }
+
+// lateAt is the age from which on something with a bound is late.
+func lateAt(bound time.Duration) time.Duration {
+	return min(peerAge, time.Duration(nearShare*float64(bound)))
+}
+
+// FeedWait returns how long the store may hold a question for changes of what is of an age: at most a
+// time, and not beyond the moment from which on it is late. A question that is under way by then would
+// be answered after the bound.
+func FeedWait(age, bound, most time.Duration) time.Duration {
+	return max(min(most, lateAt(bound)-age), 0)
 }
 
 // behind reports whether the catalog or the list of endpoints is late.
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -84,10 +84,11 @@
 
 // wait is how long the store holds the question for changes.
 func (k *runnerKeeper) wait() time.Duration {
-	if age, ok := k.fresh.Age(clock.Now()); ok && late(age, k.d.listBound()) {
-		return 0 // what counts is to know that the list is still the newest
+	most := min(runnerWait, time.Duration(waitShare*float64(k.d.Site().Bounds.Drain)))
+	if age, ok := k.fresh.Age(clock.Now()); ok {
+		return FeedWait(age, k.d.listBound(), most)
 	}
-	return min(runnerWait, time.Duration(waitShare*float64(k.d.Site().Bounds.Drain)))
+	return most
 }
 
 // take takes rows in. An entry that is gone right after an outage of the store
