request: a refusal for an old list of endpoints does not say that endpoints are at their limits

What callers saw: "1112 at-limits: no endpoint takes more for 0.2 to 1.6 s, as they have said", though only one endpoint of four had named a limit. Reason and time were not true of the other three.

Cause: whether endpoints are at their limits was asked also where none had been looked at, because the list of them was too old to choose by.

Change: with an old list limits are not asked, and the refusal is 1103 with its reason, after the usual 0.3 s in which a younger list may come. Before, a 1112 came at once and such a list with no limits cost 0.3 s as well.

The same elsewhere: atLimits has no other caller.

--- a/entry/cutseries_test.go
+++ b/entry/cutseries_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/assert"
 
 	"streambend.example/internal/standin"
+	"streambend.example/platform"
 )
 
 // cut is one of a series: a daemon is cut off from the others alone, and back for a while.
@@ -83,3 +84,23 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { drawnCuts(t, seed) })
 	}
 }
+
+// What callers saw: a refusal that named a reason and a time which were not true: "no endpoint takes more for
+// 0.2 s, as they have said", though one endpoint of four had named a limit.
+//
+// Cause: whether endpoints are at their limits was asked also where none was chosen because the list of them
+// was too old. Evidence: each such refusal follows "readiness changed" for the age of the list.
+func TestARefusalForAnOldListOfEndpointsSaysSo(t *testing.T) {
+	const alone = 2
+	inLimited(t, 3, func(w *world, _ *standin.Runner) {
+		name := w.daemons[alone].Self.Name
+		w.apart.Store(&name)
+		w.store.SetFault(standin.RowsFault{Mute: platform.RunnerTable, Muted: map[string]bool{name: true}})
+		w.demand([]int{alone}, 60, 2200*time.Millisecond, w.askStream) // until the list is too old
+		for i, a := range w.demand([]int{alone}, 20, time.Second, w.askStream) {
+			assert.Equal(t, http.StatusServiceUnavailable, a.status)
+			assert.Contains(t, a.body, "1103 no-endpoint: the list of endpoints of /engines is too old", "request %d", i)
+			assert.Positive(t, a.waitOf(t))
+		}
+	})
+}
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -91,14 +91,17 @@
 			r.giveBackTrial(c)
 			continue // the endpoint is passed over until its turn comes
 		}
-		pause, err := r.atLimits(now, r.need(now))
-		if err != nil {
-			return Choice{}, err
+		pause := routeWait
+		if listed {
+			var err *code.Error
+			if pause, err = r.atLimits(now, r.need(now)); err != nil {
+				return Choice{}, err
+			}
 		}
 		late := !now.Add(r.ticket.Expect).Before(r.r.Deadline) && r.attempts == 0
 		waited := r.opts.RouteWait > 0 && !now.Before(until)
 		if late || waited || !now.Before(r.giveUpAt()) {
-			return Choice{}, code.New(code.NoEndpoint, "no endpoint of %s takes work", r.work.Pool.Service).After(time.Second)
+			return Choice{}, r.noEndpoint(listed)
 		}
 		r.avoid = nil
 		select {
@@ -109,6 +112,16 @@
 	}
 }
 
+// noEndpoint returns the error for a request that finds no endpoint; listed is false if the list of them is
+// too old to choose by.
+func (r *run) noEndpoint(listed bool) *code.Error {
+	text := "no endpoint of %s takes work"
+	if !listed {
+		text = "the list of endpoints of %s is too old to choose by"
+	}
+	return code.New(code.NoEndpoint, text, r.work.Pool.Service).After(time.Second)
+}
+
 // leastAfter is the least time after which a caller that was refused for
 // overload may come back.
 const leastAfter = 400 * time.Millisecond
