--- a/entry/limits.go
+++ b/entry/limits.go
@@ -33,8 +33,8 @@
 // limitKeeper knows who grants requests to endpoints that limit themselves, and grants them to others.
 type limitKeeper struct {
 	d      *Daemon
-	book   pace.Book // of what this daemon grants
-	shares pace.Book // of its own even shares
+	owned  pace.Limiter // of limits that this daemon owns
+	shares pace.Limiter // of its own even shares
 
 	mu     sync.Mutex
 	silent map[string]time.Time // daemons that have not answered, and until when they are not asked
@@ -76,7 +76,7 @@
 	granter := k.granter(t.Hash())
 	switch {
 	case granter == k.d.Self.Name:
-		return k.book.Take(now, t.Hash(), k.part()*l.PerSecond, granter)
+		return k.owned.Allow(now, t.Hash(), k.part()*l.PerSecond, granter)
 	case !k.isSilent(now, granter):
 		if g, ok := k.ask(ctx, granter, t, l); ok {
 			return g
@@ -84,7 +84,7 @@
 		now = clock.Now()
 	}
 	k.shared.Add(1)
-	return k.shares.TakeShare(now, t.Hash(), l.PerSecond, pace.Draw(t.Hash(), k.d.Self.Name), k.d.fleet().Sharers())
+	return k.shares.AllowShare(now, t.Hash(), l.PerSecond, pace.Draw(t.Hash(), k.d.Self.Name), k.d.fleet().Sharers())
 }
 
 // part is the part of each limit that this daemon grants: all of it, unless it hears so few others that
@@ -151,7 +151,7 @@
 	now := clock.Now()
 	a := permitAnswer{Limit: k.d.words.believe(now, w).Limit}
 	if a.Limit.Named() {
-		a.Grant = k.book.Take(now, w.Endpoint, k.part()*a.Limit.PerSecond, from)
+		a.Grant = k.owned.Allow(now, w.Endpoint, k.part()*a.Limit.PerSecond, from)
 	} else {
 		a.Grant.OK = true
 	}
--- a/pace/book_test.go
+++ b/pace/limiter_test.go
@@ -21,9 +21,9 @@
 
 var start = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 
-// fleet plays daemons that ask a book for one endpoint as callers come to them.
+// fleet plays daemons that ask a limiter for one endpoint as callers come to them.
 type fleet struct {
-	book    pace.Book
+	limiter pace.Limiter
 	shut    []time.Time
 	asks    int
 	granted []time.Time
@@ -44,7 +44,7 @@
 				continue
 			}
 			f.asks++
-			g := f.book.Take(now, 7, limit, fmt.Sprint("daemon-", i))
+			g := f.limiter.Allow(now, 7, limit, fmt.Sprint("daemon-", i))
 			if g.OK {
 				f.granted = append(f.granted, now)
 				continue
@@ -67,7 +67,7 @@
 
 // Load: 3 to 380 daemons with callers for many times what the endpoint takes, or all callers at one
 // of them. It gets its limit, and hardly more in any window.
-func TestABookGrantsTheLimitWhoeverAsks(t *testing.T) {
+func TestALimiterGrantsTheLimitWhoeverAsks(t *testing.T) {
 	for _, daemons := range []int{3, 9, 78, 380} {
 		for _, limit := range []float64{0.3, 1.2, 5, 40} {
 			for _, at := range []int{1, daemons} {
@@ -88,15 +88,15 @@
 	}
 }
 
-// With a book of their own each, daemons that all begin at once send no more than the limit.
+// With a limiter of their own each, daemons that all begin at once send no more than the limit.
 func TestSharesOfManyDaemonsKeepTheLimit(t *testing.T) {
 	for _, daemons := range []int{3, 9, 78, 380} {
 		const limit = 2.0
-		books := make([]pace.Book, daemons)
+		limiters := make([]pace.Limiter, daemons)
 		var granted []time.Time
 		for now := start; now.Before(start.Add(time.Minute)); now = now.Add(step) {
-			for i := range books {
-				if books[i].TakeShare(now, 7, limit, pace.Draw(7, fmt.Sprint("daemon-", i)), daemons).OK {
+			for i := range limiters {
+				if limiters[i].AllowShare(now, 7, limit, pace.Draw(7, fmt.Sprint("daemon-", i)), daemons).OK {
 					granted = append(granted, now)
 				}
 			}
@@ -110,12 +110,12 @@
 func TestNoWindowGetsMoreThanTheLimitAndTheBurst(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		limit := rapid.Float64Range(0.1, 50).Draw(t, "limit")
-		var b pace.Book
+		var l pace.Limiter
 		var granted []time.Time
 		now := start
 		for range rapid.IntRange(1, 300).Draw(t, "asks") {
 			now = now.Add(time.Duration(rapid.IntRange(-5, 400).Draw(t, "pause")) * time.Millisecond)
-			g := b.Take(now, 1, limit, fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "asker")))
+			g := l.Allow(now, 1, limit, fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "asker")))
 			if g.OK {
 				granted = append(granted, now)
 			} else {
@@ -180,12 +180,12 @@
 // went on filling while it was not used. Evidence: each of 60 daemons sent one in the 4 s after the second loss.
 func TestSharesThatWereUsedBeforeKeepTheLimit(t *testing.T) {
 	const limit, daemons = 2.0, 60
-	books := make([]pace.Book, daemons)
+	limiters := make([]pace.Limiter, daemons)
 	var granted []time.Time
 	for _, lost := range []time.Duration{0, time.Minute} {
 		for now := start.Add(lost); now.Before(start.Add(lost + window)); now = now.Add(step) {
-			for i := range books {
-				if books[i].TakeShare(now, 7, limit, pace.Draw(7, fmt.Sprint("daemon-", i)), daemons).OK {
+			for i := range limiters {
+				if limiters[i].AllowShare(now, 7, limit, pace.Draw(7, fmt.Sprint("daemon-", i)), daemons).OK {
 					granted = append(granted, now)
 				}
 			}
