--- a/entry/limits.go
+++ b/entry/limits.go
@@ -46,8 +46,8 @@
 	return limitKeeper{d: d, silent: make(map[string]time.Time)}
 }
 
-// granter returns which daemon grants requests to an endpoint.
-func (k *limitKeeper) granter(endpoint uint64) string {
+// owner returns which daemon grants requests to an endpoint.
+func (k *limitKeeper) owner(endpoint uint64) string {
 	var names []string
 	if r := k.d.roster(); k.d.many() && r.Known {
 		names = append(names, r.Reader.Name)
@@ -57,7 +57,7 @@
 			names = append(names, m.Name)
 		}
 	}
-	return pace.Granter(endpoint, names)
+	return pace.Owner(endpoint, names)
 }
 
 // Take implements request.Permits.
@@ -73,12 +73,12 @@
 
 func (k *limitKeeper) take(ctx context.Context, t *request.Target) pace.Grant {
 	l, now := t.Limit(), clock.Now()
-	granter := k.granter(t.Hash())
+	owner := k.owner(t.Hash())
 	switch {
-	case granter == k.d.Self.Name:
-		return k.owned.Allow(now, t.Hash(), k.part()*l.PerSecond, granter)
-	case !k.isSilent(now, granter):
-		if g, ok := k.ask(ctx, granter, t, l); ok {
+	case owner == k.d.Self.Name:
+		return k.owned.Allow(now, t.Hash(), k.part()*l.PerSecond, owner)
+	case !k.isSilent(now, owner):
+		if g, ok := k.ask(ctx, owner, t, l); ok {
 			return g
 		}
 		now = clock.Now()
@@ -109,16 +109,16 @@
 }
 
 // ask asks another daemon for a grant; ok is false if it does not answer.
-func (k *limitKeeper) ask(ctx context.Context, granter string, t *request.Target, l pace.Limit) (g pace.Grant, ok bool) {
+func (k *limitKeeper) ask(ctx context.Context, owner string, t *request.Target, l pace.Limit) (g pace.Grant, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, permitWait)
 	defer cancel()
-	b, err := k.d.Hub.Ask(ctx, granter, askPermit, conn.Marshal(request.Word{Endpoint: t.Hash(), Limit: l}))
+	b, err := k.d.Hub.Ask(ctx, owner, askPermit, conn.Marshal(request.Word{Endpoint: t.Hash(), Limit: l}))
 	var a permitAnswer
 	if err == nil {
 		err = conn.Unmarshal(b, &a)
 	}
 	if err != nil {
-		k.lost(clock.Now(), granter, t.ID, err)
+		k.lost(clock.Now(), owner, t.ID, err)
 		return g, false
 	}
 	if a.Limit.Over(l) {
@@ -129,16 +129,16 @@
 }
 
 // lost notes that a daemon that grants has not answered.
-func (k *limitKeeper) lost(now time.Time, granter, endpoint string, err error) {
+func (k *limitKeeper) lost(now time.Time, owner, endpoint string, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.silent[granter] = now.Add(sharePause)
+	k.silent[owner] = now.Add(sharePause)
 	for name, until := range k.silent {
 		if now.After(until) {
 			delete(k.silent, name)
 		}
 	}
-	k.d.log.WithFields(logrus.Fields{"part": "limits", "granter": granter, "endpoint": endpoint, "error": err}).
+	k.d.log.WithFields(logrus.Fields{"part": "limits", "granter": owner, "endpoint": endpoint, "error": err}).
 		Info("no answer to whether one more may be sent: an even share of the limit is used")
 }
 
--- a/pace/doc.go
+++ b/pace/doc.go
@@ -3,7 +3,7 @@
 // Package pace keeps endpoints that limit themselves to the requests a second that they take
 // from all daemons together.
 //
-// One daemon, the same for all that know the same members, grants each request that any of
+// One daemon, the owner of the limit, the same for all that know the same members, grants each request that any of
 // them sends to such an endpoint:
 //
 //	var l pace.Limiter
--- a/pace/limiter_test.go
+++ b/pace/limiter_test.go
@@ -161,18 +161,18 @@
 	assert.Zero(t, none, "more than could be sent")
 }
 
-func TestOneGranterForAll(t *testing.T) {
+func TestALimitHasOneOwner(t *testing.T) {
 	names := []string{"a", "b", "c", "d"}
 	count := make(map[string]int)
 	for e := range uint64(4000) {
-		k := pace.Granter(e*0x9e3779b97f4a7c15, names)
-		assert.Equal(t, k, pace.Granter(e*0x9e3779b97f4a7c15, []string{"d", "c", "b", "a"}))
+		k := pace.Owner(e*0x9e3779b97f4a7c15, names)
+		assert.Equal(t, k, pace.Owner(e*0x9e3779b97f4a7c15, []string{"d", "c", "b", "a"}))
 		count[k]++
 	}
 	for _, n := range names {
 		assert.InDelta(t, 1000, count[n], 150)
 	}
-	assert.Empty(t, pace.Granter(1, nil))
+	assert.Empty(t, pace.Owner(1, nil))
 }
 
 // What an endpoint gets: more than its limit as whoever grants is lost a second time. Each of many daemons
--- a/pace/granter.go
+++ b/pace/owner.go
@@ -4,16 +4,16 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// Granter returns which of some daemons grants the requests to an endpoint, by rendezvous: all that
+// Owner returns which of some daemons grants the requests to an endpoint, by rendezvous: all that
 // know the same ones choose the same, and few change as one comes or goes. It is "" of none.
-func Granter(endpoint uint64, daemons []string) (granter string) {
+func Owner(endpoint uint64, daemons []string) (owner string) {
 	var most uint64
 	for _, name := range daemons {
 		if h := weight(endpoint, xxhash.Sum64String(name)) | 1; h > most {
-			most, granter = h, name
+			most, owner = h, name
 		}
 	}
-	return granter
+	return owner
 }
 
 // Draw returns a number below 1 that differs between daemons and endpoints.
