request: prompts whose own endpoints are over their bounds are spread over the rest

The same fault as of requests that may not be repeated: of endpoints alike, the first by name was chosen, by each daemon that has sent nothing lately. The platform's own prompts take another way (choosePrompt) and are not touched.

--- a/request/route.go
+++ b/request/route.go
@@ -183,7 +183,9 @@
 	l := poolList{all: all}
 	bound := loadBound(&l, n)
 	var best *Target
-	for _, t := range all {
+	start := pick(n.Draw, len(all))
+	for i := range all {
+		t := all[(start+i)%len(all)]
 		if t.open(n) && int(t.load.Load()) <= bound && (best == nil || t.lately() < best.lately()) {
 			best = t
 		}
--- a/request/route_test.go
+++ b/request/route_test.go
@@ -183,6 +183,32 @@
 	assert.Len(t, got, endpoints)
 }
 
+// The same of prompts whose own endpoints are over their bounds: many daemons that have sent nothing lately
+// would all choose the first of the rest by name.
+func TestPromptsPushedAsideAreSpread(t *testing.T) {
+	const endpoints, requests = 12, 400
+	got := make(map[string]int)
+	for i := range uint64(requests) {
+		p := request.NewPool("office/llm", "silom", 16)
+		n := need(7)
+		n.Draw = i * 0x9e3779b97f4a7c15
+		for e := range endpoints {
+			p.Add(request.Endpoint{ID: fmt.Sprint("box-", e), Zone: "silom"})
+		}
+		for _, o := range firstChoice(t, p, n).Others {
+			o.Target.Report(start, 100, 16)
+		}
+		got[firstChoice(t, p, n).Target.ID]++
+	}
+	assert.Len(t, got, endpoints-len(request.Choice{}.Others))
+}
+
+func firstChoice(t *testing.T, p *request.Pool, n request.Need) request.Choice {
+	c, ok := p.Route(start, n)
+	assert.True(t, ok)
+	return c
+}
+
 // BenchmarkPoolMemory holds the view of 2,500 endpoints, with as many prefixes
 // remembered as are kept.
 func BenchmarkPoolMemory(b *testing.B) {
