--- a/pace/doc.go
+++ b/pace/doc.go
@@ -3,8 +3,8 @@
 // Package pace keeps endpoints that limit themselves to the requests a second that they take
 // from all daemons together.
 //
-// One daemon, the owner of the limit, the same for all that know the same members, grants each request that any of
-// them sends to such an endpoint:
+// One daemon, the owner of the limit, the same for all that know the same members, grants
+// each request that any of them sends to such an endpoint:
 //
 //	var l pace.Limiter
 //	g := l.Allow(now, endpoint, limit.PerSecond, asker)
--- a/rollout/judge.go
+++ b/rollout/judge.go
@@ -91,8 +91,8 @@
 	spanWhole = 10
 	// excessMost is the number of bad answers beyond the old version's rate at which a
 	// version is rolled back whatever the endpoints say, but for the worst of them if the others
-	// show that its fault is its own: a third of those after which the time runs in which it must get nothing more. It finds versions
-	// that are bad less often than worse returns.
+	// show that the fault is its own: a third of those after which the time runs in which it
+	// must get nothing more. It finds versions that are bad less often than worse returns.
 	excessMost = 15
 	// excessSpread is by how many standard deviations that must be beyond chance.
 	excessSpread = 3.0
@@ -218,15 +218,15 @@
 			worst = e
 		}
 	}
-	if x := r.excess[worst]; x > 0 && r.alone(worst) {
+	if x := r.excess[worst]; x > 0 && r.ownFault(worst) {
 		sum -= x
 	}
 	return sum
 }
 
-// alone reports whether the answers of the other endpoints show that they do not fail as often as an
+// ownFault reports whether the answers of the other endpoints show that they do not fail as often as an
 // endpoint. Where they have hardly answered, its fault may be the version's.
-func (r *routeCase) alone(endpoint string) bool {
+func (r *routeCase) ownFault(endpoint string) bool {
 	var others Tally
 	for e, t := range r.known {
 		if e != endpoint {
