request: repeats are allowed by the requests of a window, not of a window and a step

Cause: a daemon counts in steps of a second and keeps eleven, so that at least the window's ten are whole. Repeats of eleven steps are right, as they bound those of any window; requests of eleven allow up to a tenth too many repeats.

Change: the oldest step's requests allow nothing more; its repeats count as before. A burst right after a step has begun gets up to a tenth fewer repeats than it might.

Test failed before: 336 of 334.

--- a/request/budget.go
+++ b/request/budget.go
@@ -150,12 +150,16 @@
 	return true
 }
 
-// within reports whether one more is within a part of what is allowed; the caller holds the lock.
+// within reports whether one more is within a part of what is allowed; the caller holds the lock. The
+// oldest step may lie partly before the window: its repeats count, its requests allow no more.
 func (b *WindowBudget) within(part float64) bool {
 	firsts, repeats := 0, 0
+	oldest := int((b.step + 1) % (windowSteps + 1))
 	for i := range b.firsts {
-		firsts += b.firsts[i]
 		repeats += b.repeats[i]
+		if i != oldest {
+			firsts += b.firsts[i]
+		}
 	}
 	share := slackUsed * b.bound.Slack / float64(max(b.bound.Daemons(), 1))
 	return float64(repeats+1) <= part*(b.bound.Ratio*float64(firsts)+share)
