--- a/entry/cutseries_test.go
+++ b/entry/cutseries_test.go
@@ -86,7 +86,7 @@
 	return out
 }
 
-// Series of cuts drawn from seeds. 3 failed before.
+// Series of cuts drawn from seeds; of these, seed 3 has failed.
 func TestCallersAreServedThroughDrawnCuts(t *testing.T) {
 	for _, seed := range drawnSeeds(4) {
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { drawnCuts(t, seed) })
--- a/request/budget_test.go
+++ b/request/budget_test.go
@@ -14,7 +14,7 @@
 // What callers saw: nothing; as all engines of a service turned requests away, daemons together sent more
 // repeats than the bound allows, 346 in 10 s of 340 allowed.
 //
-// Order of events: 142 requests a second for minutes, then each of them is turned away and sent again until
+// Order of events: 142 requests a second at an even rate, then each of them is turned away and sent again until
 // nothing is left; all repeats fall into two seconds.
 //
 // Cause: the requests that allow repeats were counted over 11 steps of a second, of which a window has 10.
