request: attempts that reached no endpoint count for no limit

A request that met three endpoints which had ended, one after the other, was refused with 1104 although others were alive: an attempt that was never sent counted as one that an endpoint had refused. Such attempts are bounded by the ejection of their endpoints and by the deadline.

--- a/request/server.go
+++ b/request/server.go
@@ -219,8 +219,8 @@
 	retryCharged    atomic.Bool   // the next retry has already been charged to the budget
 	attempts        int
 	startedAttempts int // attempts that an endpoint may have started
-	avoid           *Target
-	prefer          *Target
+	refusedAttempts int // attempts that an endpoint refused to start
+	prefer, avoid   *Target
 	restart         bool
 }
 
--- a/request/settle.go
+++ b/request/settle.go
@@ -73,15 +73,17 @@
 // that no endpoint has started.
 const extraSends = 2
 
-// attemptsExhausted counts an attempt that may have run, and reports whether the route's limit of
-// attempts is reached.
+// attemptsExhausted counts an attempt that reached an endpoint, and reports whether the route's limit of
+// attempts is reached. An attempt that reached none is not counted: it adds load nowhere, and its endpoint
+// is ejected, so that the deadline and the number of endpoints bound such attempts.
 func (r *run) attemptsExhausted(e Ending) bool {
 	x := r.req.Relay
-	if x == nil {
+	switch {
+	case x == nil, e == EndedUnsent:
 		return false
-	}
-	if e == EndedUnsent || e == EndedRefused {
-		return r.attempts >= x.Attempts+extraSends
+	case e == EndedRefused:
+		r.refusedAttempts++
+		return r.startedAttempts+r.refusedAttempts >= x.Attempts+extraSends
 	}
 	r.startedAttempts++
 	return r.startedAttempts >= x.Attempts
