request: a pause that an endpoint asks for is kept for 20 ms longer

Requests that wait for the end of a pause are all sent at once when it is over, which by the endpoint's clock may be within it. A choice also sets the present time itself: without one, each pause ever asked for counted as not over.

--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -117,8 +117,9 @@
 
 // Arrival is a request that a Runner has received, executed or not.
 type Arrival struct {
-	ID string
-	At time.Time
+	ID   string
+	At   time.Time
+	Rest string // Retry-After of the answer; empty for none
 }
 
 // Arrivals returns the requests that the runner has received.
@@ -152,7 +153,11 @@
 	r.mu.Lock()
 	f := r.fault
 	id := q.Header.Get("Streambend-Request-Id")
-	r.arrivals = append(r.arrivals, Arrival{id, time.Now()})
+	a := Arrival{ID: id, At: time.Now()}
+	if f.NotRun {
+		a.Rest = f.Rest
+	}
+	r.arrivals = append(r.arrivals, a)
 	r.mu.Unlock()
 	h := w.Header()
 	h["Date"] = nil // so that a test sees only the headers that the code under test adds
--- a/request/endpointstate.go
+++ b/request/endpointstate.go
@@ -56,10 +56,15 @@
 	return fresh
 }
 
+// backoffSlack is added to the time for which an endpoint asks a daemon to back off. The endpoint measures that
+// time by its own clock, and requests that wait for its end are all sent at once when it is over: a daemon whose
+// clock is ahead by less than a microsecond would send them within it.
+const backoffSlack = 20 * time.Millisecond
+
 // RecordBackoff records that the endpoint asked this daemon to back off for d. It reports whether to
 // announce it to other daemons, which is not needed while a back-off is already known.
 func (t *Target) RecordBackoff(now time.Time, d time.Duration) (tell bool) {
 	tell = t.advertised.backoff.left(now) == 0 && t.advertised.othersBackoff.left(now) == 0
-	t.advertised.backoff.extend(now.Add(d))
+	t.advertised.backoff.extend(now.Add(d + backoffSlack))
 	return tell
 }
--- a/request/route.go
+++ b/request/route.go
@@ -90,6 +90,7 @@
 // endpoints that asked other daemons to back off, then to those ejected for soft failures: when all engines
 // are slow at once, all are ejected for timeouts, and a slow one is better than none.
 func (p *Pool) Route(now time.Time, n Need) (Choice, bool) {
+	n.At = now
 	c, ok := p.route(now, n)
 	if !ok && !n.AllowBackedOff {
 		n.AllowBackedOff = true
--- a/request/route_test.go
+++ b/request/route_test.go
@@ -224,3 +224,14 @@
 		runtime.KeepAlive(p)
 	}
 }
+
+// A pause that is over must not exclude an endpoint from a choice whose requirements name no present time,
+// such as that of an engine that imports a KV cache.
+func TestAnEndedPauseExcludesNoEndpoint(t *testing.T) {
+	p := pool(1)
+	p.Targets()[0].RecordBackoff(start, time.Second)
+	_, ok := p.Route(start.Add(500*time.Millisecond), need(1))
+	assert.False(t, ok, "paused")
+	_, ok = p.Route(start.Add(2*time.Second), need(1))
+	assert.True(t, ok, "the pause is over")
+}
