replica, entry: the list of endpoints passes in pieces, as what has changed

The whole list went in one answer: 10,000 entries are 2.5 MB, and a link of 20 Mbit/s carries 1.75 MB within the timeout of a query, so that it never arrived and was repeated. A daemon behind by more than 512 removals got the whole list again, which the end of 5% of the endpoints is enough for. Now daemons copy it as a log of changes: compressed pieces of 64 KB, one at a time, continued where they failed; removals are kept up to the number of entries. Daemons that do not know pieces get up to 2 MB in one answer, as before.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -87,6 +87,7 @@
 	feeds           tallyFeeds
 	outage          Outage
 	fetching        sync.Mutex    // held while the pieces of a catalog are fetched from another daemon
+	fetchingList    sync.Mutex    // the same for the list of endpoints
 	incomingCatalog assembly      // the pieces fetched so far
 	packedCatalogs  packedCache   // packed catalogs served to other daemons
 	suspendedTotal  time.Duration // total time the box was suspended, as last seen; used by one goroutine
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -51,6 +51,8 @@
 	Fetch   bool     `codec:"f,omitempty"` // requests the next piece of a newer catalog
 	Got     progress `codec:"g"`           // pieces that the asker has
 
+	List *listQuery `codec:"x,omitempty"` // absent if the asker does not know pieces of the list of endpoints
+
 	Tally   *conn.Tally `codec:"t,omitempty"` // the asker's own, in a large fleet
 	Started bool        `codec:"l,omitempty"` // has just started; requests the time of day and the teams' bucket levels
 }
@@ -67,7 +69,8 @@
 	Fetched bool          `codec:"d,omitempty"` // the asker requested a piece
 	Runners int64         `codec:"r"`
 	Listed  time.Duration `codec:"l"`           // age of the answering daemon's list of endpoints
-	Entries []entryRow    `codec:"e,omitempty"` // endpoints that changed since the asker's version
+	List    *listPiece    `codec:"x,omitempty"` // endpoints that changed since the asker's version
+	Entries []entryRow    `codec:"e,omitempty"` // the same for an asker that does not know pieces
 	Whole   bool          `codec:"h,omitempty"` // Entries holds all endpoints
 	Orders  []orderReport `codec:"o,omitempty"` // rollout orders, as of the catalog
 	Daemons int           `codec:"n,omitempty"` // daemons known to the answering one; 0 until it has counted them
@@ -181,32 +184,37 @@
 	}
 }
 
-// syncWithPeer queries one daemon and returns the state of its reads. If that daemon has a newer catalog,
-// syncWithPeer fetches it piece by piece, from one daemon at a time, as a link has room for one catalog.
+// syncWithPeer queries one daemon and returns the state of its reads. If that daemon has more of a newer
+// catalog or of the list of endpoints, syncWithPeer fetches it piece by piece, from one daemon at a time, as a
+// link has room for one catalog.
 func (d *Daemon) syncWithPeer(ctx context.Context, name string) ReaderStatus {
-	fetch := false
+	fetch, list := false, false
 	for {
-		w, more := d.queryPeer(ctx, name, fetch)
+		w, moreCatalog, moreList := d.queryPeer(ctx, name, fetch)
 		d.outage.Record(name, w)
-		if !more || ctx.Err() != nil {
+		if ctx.Err() != nil {
 			return w.Reader
 		}
-		if !fetch {
-			if !d.fetching.TryLock() {
-				return w.Reader
-			}
+		if moreCatalog && !fetch && d.fetching.TryLock() {
 			defer d.fetching.Unlock()
 			fetch = true
 		}
+		if moreList && !list && d.fetchingList.TryLock() {
+			defer d.fetchingList.Unlock()
+			list = true
+		}
+		if !(moreCatalog && fetch) && !(moreList && list) {
+			return w.Reader
+		}
 	}
 }
 
 // queryPeer sends one query to a daemon and applies its answer. It returns the outcome, and whether the daemon
-// has more of a newer catalog.
-func (d *Daemon) queryPeer(ctx context.Context, name string, fetch bool) (w PeerReport, more bool) {
+// has more of a newer catalog and of the list of endpoints.
+func (d *Daemon) queryPeer(ctx context.Context, name string, fetch bool) (w PeerReport, moreCatalog, moreList bool) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	q := freshQuery{Runners: d.runners.current(), Fetch: fetch, Got: d.incomingCatalog.progress()}
+	q := freshQuery{Runners: d.runners.current(), Fetch: fetch, Got: d.incomingCatalog.progress(), List: d.runners.query(clock.Now(), name)}
 	q.Started = !d.Site().First && !d.contact.levelsKnown.Load()
 	if c := d.catalog.get(); c != nil {
 		q.Catalog = c.Version
@@ -220,15 +228,15 @@
 	b, err := d.Hub.Ask(ctx, name, askFresh, conn.Marshal(q))
 	d.logAnswer(name, clock.Since(sent), len(b), err)
 	if err != nil {
-		return w, false // the next round queries it again, or another daemon
+		return w, false, false // the next round queries it again, or another daemon
 	}
 	var a freshReply
 	if err := conn.Unmarshal(b, &a); err != nil {
 		d.log.WithField("part", "peers").Warnf("invalid answer from %s: %v", name, err)
-		return w, false
+		return w, false, false
 	}
 	if a.Known {
-		more = d.applyFresh(sent, name, a)
+		moreCatalog, moreList = d.applyFresh(sent, name, q, a)
 	}
 	if _, known := d.Hub.Mesh.Counts(); a.Daemons > 0 && known >= a.Daemons {
 		d.contact.counted.Store(true) // every member that the other daemon counted is known here
@@ -254,7 +262,7 @@
 	if a.Failing {
 		w.Reader = ReaderFailing
 	}
-	return w, more
+	return w, moreCatalog, moreList
 }
 
 // reportDayAfter is how long after its start a daemon reports the time of day to others: by then it has
@@ -281,8 +289,9 @@
 	}).Info("another daemon's answer is late or missing")
 }
 
-// applyFresh applies an answer, and reports whether more of its catalog is to come.
-func (d *Daemon) applyFresh(sent time.Time, name string, a freshReply) (more bool) {
+// applyFresh applies the answer to a query, and reports whether more of its catalog and of its list of endpoints
+// is to come.
+func (d *Daemon) applyFresh(sent time.Time, name string, q freshQuery, a freshReply) (more, moreList bool) {
 	d.rollouts.applySnapshot(sent, a.At, a.Orders)
 	if a.Piece == nil {
 		c := d.catalog.get()
@@ -297,13 +306,7 @@
 		}
 		more = rest && err == nil
 	}
-	if a.Runners > d.runners.current() {
-		rows := make([]platform.Row, 0, len(a.Entries))
-		for _, e := range a.Entries {
-			rows = append(rows, platform.Row{Table: platform.RunnerTable, Key: e.ID, Value: e.Value, Removed: e.Gone})
-		}
-		d.runners.take(clock.Now(), a.Runners, rows, a.Whole)
-	}
+	moreList = d.applyList(name, q.List.Skip, a)
 	if d.runners.current() >= a.Runners {
 		d.runners.fresh.Peer(sent, a.Listed)
 	}
@@ -311,7 +314,28 @@
 		d.catalog.fresh.Peer(sent, a.Age)
 		d.catalog.readTo(a.At)
 	}
-	return more
+	return more, moreList
+}
+
+// applyList applies the endpoints in an answer, unless they were not requested, and reports whether more are to
+// come.
+func (d *Daemon) applyList(name string, skipped bool, a freshReply) (more bool) {
+	if a.List != nil {
+		more, err := d.runners.takePiece(clock.Now(), name, a.Runners, a.List)
+		if err != nil {
+			d.log.WithField("part", "endpoints").Warnf("list of endpoints from %s: %v", name, err)
+		}
+		return more
+	}
+	if a.Runners <= d.runners.current() || skipped && len(a.Entries) == 0 {
+		return false
+	}
+	rows := make([]platform.Row, 0, len(a.Entries))
+	for _, e := range a.Entries {
+		rows = append(rows, platform.Row{Table: platform.RunnerTable, Key: e.ID, Value: e.Value, Removed: e.Gone})
+	}
+	d.runners.take(clock.Now(), a.Runners, rows, a.Whole)
+	return false
 }
 
 // answerFresh answers another daemon's query.
@@ -352,10 +376,13 @@
 			return nil, err
 		}
 	}
-	var rows []platform.Row
-	a.Runners, rows, a.Whole = d.runners.since(q.Runners)
-	for _, r := range rows {
-		a.Entries = append(a.Entries, entryRow{r.Key, r.Value, r.Removed})
+	if q.List == nil {
+		a.Runners, a.Entries, a.Whole = d.runners.unpaged(q.Runners)
+		return conn.Marshal(a), nil
+	}
+	var err error
+	if a.Runners, a.List, err = d.runners.piece(q.Runners, q.List); err != nil {
+		return nil, err
 	}
 	return conn.Marshal(a), nil
 }
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -15,6 +15,7 @@
 
 	"streambend.example/clock"
 	"streambend.example/platform"
+	"streambend.example/replica"
 	"streambend.example/request"
 	"streambend.example/version"
 )
@@ -41,9 +42,10 @@
 	version   int64 // store version up to which the list is complete
 	changed   int64 // store version at which the list last changed
 	byID      map[string]platform.Runner
-	rows      map[string]storedRow // the endpoints' entries, for other daemons
-	removed   map[string]int64     // store versions at which entries were removed, for other daemons
-	floor     int64                // removals up to this store version are not in removed
+	log       replica.Log[[]byte]  // the endpoints' entries, for other daemons
+	logged    int64                // store version of the last entry in log, above version during a transfer
+	transfer  *listTransfer        // from another daemon, in progress; nil if there is none
+	packed    pieceCache           // pieces of log for other daemons
 	missing   map[string]bool      // entries that disappeared around an outage of the store
 	unnamed   map[string]bool      // endpoints of services that the catalog does not name
 	invalid   map[string]int64     // store versions of invalid entries, as last logged
@@ -53,19 +55,12 @@
 	storeDown bool                 // the store has not answered since failedAt
 }
 
-// storedRow is an entry as stored, with the store version at which this daemon applied it.
-type storedRow struct {
-	value []byte
-	at    int64
-}
-
-// maxRemoved is the maximum number of removed entries that are remembered, at about 50 bytes each. A
-// daemon that is further behind gets the complete list.
-const maxRemoved = 512
+// maxInvalid is the maximum number of invalid entries that are remembered as logged.
+const maxInvalid = 512
 
 func newEndpointTracker(d *Daemon) endpointTracker {
 	return endpointTracker{
-		d: d, byID: make(map[string]platform.Runner), rows: make(map[string]storedRow), removed: make(map[string]int64),
+		d: d, byID: make(map[string]platform.Runner),
 		missing: make(map[string]bool), unnamed: make(map[string]bool), invalid: make(map[string]int64), found: make(map[string]time.Time),
 	}
 }
@@ -98,47 +93,58 @@
 	if version < k.version {
 		return // newer rows have already come from other daemons
 	}
-	k.version = version
+	k.version, k.logged = version, max(k.logged, version)
 	if len(rows) > 0 || whole {
 		k.changed = version
 	}
 	there := make(map[string]bool, len(rows))
 	for _, row := range rows {
-		if row.Part != "" {
-			continue
-		}
-		if row.Removed {
-			k.entryRemoved(now, row.Key)
-			continue
-		}
-		if old, ok := k.rows[row.Key]; ok && bytes.Equal(old.value, row.Value) {
+		if k.apply(now, row, whole) {
 			there[row.Key] = true
-			if !whole {
-				k.rows[row.Key] = storedRow{old.value, version} // the entry changed and changed back
-			}
-			continue
 		}
-		r, err := platform.ReadRunner(row)
-		if err != nil {
-			k.ignoreInvalid(row, err)
-			continue
-		}
-		delete(k.invalid, r.ID)
-		there[r.ID] = true
-		k.rows[r.ID] = storedRow{row.Value, version}
-		delete(k.removed, r.ID)
-		k.set(now, r)
 	}
 	if whole {
-		for id := range k.byID {
-			if !there[id] {
-				k.entryRemoved(now, id)
-			}
+		k.removeOthers(now, there)
+	}
+}
+
+// apply applies one row and reports whether it is an endpoint's entry. In a read of the whole table an
+// unchanged entry is no change. The caller holds the lock.
+func (k *endpointTracker) apply(now time.Time, row platform.Row, whole bool) bool {
+	if row.Part != "" {
+		return false
+	}
+	if row.Removed {
+		k.entryRemoved(now, row.Key)
+		return false
+	}
+	if old, ok := k.log.Get(row.Key); ok && bytes.Equal(old, row.Value) {
+		if !whole {
+			k.log.Set(k.logged, row.Key, old) // the entry changed and changed back
 		}
-		if k.readAt.IsZero() {
-			k.readAt, k.floor = now, version
+		return true
+	}
+	r, err := platform.ReadRunner(row)
+	if err != nil {
+		k.ignoreInvalid(row, err)
+		return false
+	}
+	delete(k.invalid, r.ID)
+	k.log.Set(k.logged, r.ID, row.Value)
+	k.set(now, r)
+	return true
+}
+
+// removeOthers removes the endpoints that a complete list does not contain. The caller holds the lock.
+func (k *endpointTracker) removeOthers(now time.Time, there map[string]bool) {
+	for id := range k.byID {
+		if !there[id] {
+			k.entryRemoved(now, id)
 		}
 	}
+	if k.readAt.IsZero() {
+		k.readAt = now
+	}
 }
 
 // set adds or updates an endpoint. The caller holds the lock.
@@ -215,7 +221,7 @@
 func (k *endpointTracker) ignoreInvalid(row platform.Row, err error) {
 	var bad *platform.BadEntry
 	if errors.As(err, &bad) && (k.invalid[row.Key] != row.Version || row.Version == 0) {
-		if len(k.invalid) >= maxRemoved {
+		if len(k.invalid) >= maxInvalid {
 			clear(k.invalid)
 		}
 		k.invalid[row.Key] = row.Version
@@ -240,7 +246,7 @@
 			k.d.log.WithFields(logrus.Fields{"part": "endpoints", "endpoint": id}).Info("entry missing after an outage of the store, endpoint still used")
 		}
 		k.missing[id] = true
-		k.recordRemoval(id) // daemons that had no outage need not keep it
+		k.log.Remove(k.logged, id) // daemons that had no outage need not keep it
 		return
 	}
 	k.drop(id, r)
@@ -251,7 +257,7 @@
 	delete(k.byID, id)
 	delete(k.missing, id)
 	delete(k.found, id)
-	k.recordRemoval(id)
+	k.log.Remove(k.logged, id)
 	if !k.unnamed[id] {
 		k.d.work(r.Service).Pool.Forget(id)
 	}
@@ -259,19 +265,6 @@
 	k.d.log.WithFields(logrus.Fields{"part": "endpoints", "endpoint": id, "service": r.Service}).Info("endpoint gone")
 }
 
-// recordRemoval records the removal of an entry, for other daemons.
-func (k *endpointTracker) recordRemoval(id string) {
-	if _, ok := k.rows[id]; !ok {
-		return
-	}
-	delete(k.rows, id)
-	if len(k.removed) >= maxRemoved {
-		clear(k.removed)
-		k.floor = k.version
-	}
-	k.removed[id] = k.version
-}
-
 // tick drops the endpoints that are still missing when missingGrace is over.
 func (k *endpointTracker) tick(now time.Time) {
 	k.mu.Lock()
@@ -307,29 +300,6 @@
 	return k.version
 }
 
-// since returns the entries changed after a store version, with removed ones marked, and the store
-// version up to which they are complete. If the removals are no longer all remembered, it returns all
-// entries, and whole is true.
-func (k *endpointTracker) since(version int64) (now int64, rows []platform.Row, whole bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.changed <= version {
-		return k.version, nil, false
-	}
-	whole = version < k.floor
-	for id, r := range k.rows {
-		if whole || r.at > version {
-			rows = append(rows, platform.Row{Table: platform.RunnerTable, Key: id, Value: r.value})
-		}
-	}
-	for id, at := range k.removed {
-		if !whole && at > version {
-			rows = append(rows, platform.Row{Table: platform.RunnerTable, Key: id, Removed: true})
-		}
-	}
-	return k.version, rows, whole
-}
-
 // known reports whether a complete list of endpoints has arrived.
 func (k *endpointTracker) known() bool {
 	k.mu.Lock()
--- a/entry/transfer.go
+++ b/entry/transfer.go
@@ -34,27 +34,33 @@
 
 // pack compresses a catalog. A catalog with 5,000 routes shrinks from 965 KB to 49 KB in 4.3 ms.
 func pack(version int64, value []byte) (*packed, error) {
+	b, err := compress(value)
+	if err != nil {
+		return nil, err
+	}
+	return &packed{version, xxhash.Sum64(b), b}, nil
+}
+
+// compress compresses data that is sent to other daemons.
+func compress(data []byte) ([]byte, error) {
 	var b bytes.Buffer
 	w, err := flate.NewWriter(&b, flate.DefaultCompression)
 	if err == nil {
-		_, err = w.Write(value)
+		_, err = w.Write(data)
 	}
 	if err == nil {
 		err = w.Close()
 	}
-	if err != nil {
-		return nil, errors.Wrap(err, "entry: compress catalog")
-	}
-	return &packed{version, xxhash.Sum64(b.Bytes()), b.Bytes()}, nil
+	return b.Bytes(), errors.Wrap(err, "entry: compress")
 }
 
-// unpack decompresses a catalog.
-func unpack(data []byte) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), maxCatalogSize+1))
-	if err == nil && len(b) > maxCatalogSize {
-		err = errors.Errorf("size exceeds %d bytes", maxCatalogSize)
+// decompress reverses compress; data of more than limit bytes is an error.
+func decompress(data []byte, limit int64) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(data)), limit+1))
+	if err == nil && int64(len(b)) > limit {
+		err = errors.Errorf("size exceeds %d bytes", limit)
 	}
-	return b, errors.Wrap(err, "entry: decompress catalog")
+	return b, errors.Wrap(err, "entry: decompress")
 }
 
 // progress is how much of a compressed catalog a daemon has.
@@ -145,6 +151,6 @@
 	if xxhash.Sum64(data) != p.Sum {
 		return nil, true, errors.Errorf("entry: checksum mismatch in the pieces of catalog version %d", p.Version)
 	}
-	value, err = unpack(data)
+	value, err = decompress(data, maxCatalogSize)
 	return value, false, err
 }
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -3,6 +3,7 @@
 package entry_test
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -41,6 +42,8 @@
 	rate          float64
 	zones         []string                 // assigned to the daemons in turn
 	strongBoxes   int                      // number of daemons with more processor time than the rest; 0 if all have the same
+	weakRate      float64                  // bytes a second of a weak box's link; 0 for the usual rate
+	strongRate    float64                  // the same for a strong box
 	links         map[string]*standin.Link // links of the daemons' boxes; nil for a network without limits
 	unusedRoutes  []map[string]any         // routes that get no requests
 	seeds         []string                 // addresses by which daemons find others without the store
@@ -219,9 +222,9 @@
 // rateOf returns the rate of the link of a daemon's box.
 func (w *world) rateOf(i int) float64 {
 	if i < w.strongBoxes {
-		return strongRate
+		return cmp.Or(w.strongRate, strongRate)
 	}
-	return weakRate
+	return cmp.Or(w.weakRate, weakRate)
 }
 
 // runner starts an endpoint and adds it to the store.
