request: attempts that reach no endpoint back off from the third on

Since they count for no limit, a request could dial all endpoints of a service, one after the other, while none can be reached. TestARequestDialsFewEndpointsWhileAllRefuseConnections bounds it.

--- a/entry/network_test.go
+++ b/entry/network_test.go
@@ -92,6 +92,7 @@
 		return nil, n.ctx.Err()
 	}
 	if strings.HasPrefix(address, runnerHost) {
+		n.w.dials.Add(1)
 		time.Sleep(time.Duration(n.w.connectDelay.Load()))
 	}
 	if strings.HasSuffix(address, linkPort) {
--- a/entry/unreachable_test.go
+++ b/entry/unreachable_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 )
@@ -30,3 +31,17 @@
 		})
 	}
 }
+
+// While no endpoint can be reached, a request must not dial all of them, one after the other, until its deadline.
+func TestARequestDialsFewEndpointsWhileAllRefuseConnections(t *testing.T) {
+	inWorld(t, 3, func(w *world) {
+		for i := range 200 {
+			w.runner(plain, "a", fmt.Sprint("p-", i), 0).Close()
+		}
+		w.dials.Store(0)
+		began := time.Now()
+		a := w.ask(0, http.MethodPost, "/write/", "id")
+		assert.Equal(t, http.StatusServiceUnavailable, a.status)
+		assert.Less(t, float64(w.dials.Load())/time.Since(began).Seconds(), 40.0, "dials a second")
+	})
+}
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -50,6 +50,7 @@
 	bootstrap     bool                     // the daemons bootstrap the whole system
 	configDelay   time.Duration            // how long after the start the configuration is written
 	connectDelay  atomic.Int64             // time to open a connection to an endpoint, in nanoseconds
+	dials         atomic.Int64             // connections to endpoints that daemons have tried to open
 	created       time.Time
 	isolated      atomic.Pointer[string] // daemon whose links to other daemons alone are cut; nil for none
 	log           worldLog
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	"streambend.example/clock"
@@ -350,3 +351,9 @@
 	r.answer.setPlain(ans)
 	return EndedComplete, nil
 }
+
+// nextAttemptID counts an attempt and returns its request id.
+func (r *run) nextAttemptID() string {
+	r.attempts++
+	return r.req.ID + "." + uuid.NewString()[:8]
+}
--- a/request/server.go
+++ b/request/server.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
 	"streambend.example/clock"
@@ -220,6 +219,7 @@
 	attempts        int
 	startedAttempts int // attempts that an endpoint may have started
 	refusedAttempts int // attempts that an endpoint refused to start
+	unsentAttempts  int // attempts that reached none
 	prefer, avoid   *Target
 	restart         bool
 }
@@ -392,9 +392,3 @@
 
 // giveUpAt returns the time at which a request is ended even if it is still running.
 func (r *run) giveUpAt() time.Time { return r.req.Deadline.Add(r.opts.Grace) }
-
-// nextAttemptID counts an attempt and returns its request id.
-func (r *run) nextAttemptID() string {
-	r.attempts++
-	return r.req.ID + "." + uuid.NewString()[:8]
-}
--- a/request/settle.go
+++ b/request/settle.go
@@ -73,13 +73,16 @@
 // that no endpoint has started.
 const extraSends = 2
 
-// attemptsExhausted counts an attempt that reached an endpoint, and reports whether the route's limit of
-// attempts is reached. An attempt that reached none is not counted: it adds load nowhere, and its endpoint
-// is ejected, so that the deadline and the number of endpoints bound such attempts.
+// attemptsExhausted counts an attempt, and reports whether the route's limit of attempts is reached. An attempt
+// that reached no endpoint does not count for it: it adds load nowhere, and its endpoint is ejected. The deadline
+// and the backoff between them bound such attempts.
 func (r *run) attemptsExhausted(e Ending) bool {
 	x := r.req.Relay
 	switch {
-	case x == nil, e == EndedUnsent:
+	case x == nil:
+		return false
+	case e == EndedUnsent:
+		r.unsentAttempts++
 		return false
 	case e == EndedRefused:
 		r.refusedAttempts++
@@ -140,16 +143,24 @@
 	r.avoid = t
 	if !v.Spend {
 		r.Count.Moves.Add(1)
+		if r.unsentAttempts > extraSends { // otherwise a request would dial all endpoints while none can be reached
+			r.backOff(ctx, time.Duration(min(r.unsentAttempts, 6))*backoffStep)
+		}
 		return
 	}
 	r.Count.Retries.Add(1)
 	if !r.retryCharged.Swap(false) {
 		r.work.Budget.Spend(r.Now())
 	}
-	backoff := time.Duration(min(r.attempts, 6)) * backoffStep
 	if v.Pause {
-		backoff = longBackoffStep + time.Duration(min(r.attempts, 6))*longBackoffStep
+		r.backOff(ctx, longBackoffStep+time.Duration(min(r.attempts, 6))*longBackoffStep)
+		return
 	}
+	r.backOff(ctx, time.Duration(min(r.attempts, 6))*backoffStep)
+}
+
+// backOff waits for between half of a time and all of it.
+func (r *run) backOff(ctx context.Context, backoff time.Duration) {
 	select {
 	case <-ctx.Done():
 	case <-time.After(backoff/2 + time.Duration(pick(r.attemptHash(), int(backoff)/2+1))):
