--- a/entry/listtransfer.go
+++ b/entry/listtransfer.go
@@ -153,6 +153,8 @@
 		return false, nil
 	}
 	k.logged = max(k.logged, version)
+	k.changes.begin(k.d.log, len(rows))
+	defer k.changes.end()
 	for _, r := range rows {
 		row := platform.Row{Table: platform.RunnerTable, Key: r.ID, Value: r.Value, Removed: r.Gone}
 		if k.apply(now, row, p.From.Whole) {
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -42,10 +42,11 @@
 	version   int64 // store version up to which the list is complete
 	changed   int64 // store version at which the list last changed
 	byID      map[string]platform.Runner
-	log       replica.Log[[]byte]  // the endpoints' entries, for other daemons
-	logged    int64                // store version of the last entry in log, above version during a transfer
-	transfer  *listTransfer        // from another daemon, in progress; nil if there is none
-	packed    pieceCache           // pieces of log for other daemons
+	log       replica.Log[[]byte] // the endpoints' entries, for other daemons
+	logged    int64               // store version of the last entry in log, above version during a transfer
+	transfer  *listTransfer       // from another daemon, in progress; nil if there is none
+	packed    pieceCache          // pieces of log for other daemons
+	changes   changeLogger
 	missing   map[string]bool      // entries that disappeared around an outage of the store
 	unnamed   map[string]bool      // endpoints of services that the catalog does not name
 	invalid   map[string]int64     // store versions of invalid entries, as last logged
@@ -97,6 +98,8 @@
 	if len(rows) > 0 || whole {
 		k.changed = version
 	}
+	k.changes.begin(k.d.log, len(rows))
+	defer k.changes.end()
 	there := make(map[string]bool, len(rows))
 	for _, row := range rows {
 		if k.apply(now, row, whole) {
@@ -150,11 +153,8 @@
 // set adds or updates an endpoint. The caller holds the lock.
 func (k *endpointTracker) set(now time.Time, r platform.Runner) {
 	old, known := k.byID[r.ID]
-	fields := logrus.Fields{
-		"part": "endpoints", "endpoint": r.ID, "born": r.Born, "service": r.Service, "software": r.Version, "zone": r.Zone, "address": r.Address, "reclaimable": r.Reclaimable,
-	}
 	if known && r.Born != 0 && r.Born < old.Born {
-		k.d.log.WithFields(fields).WithField("present", old.Born).Info("entry of an earlier start ignored")
+		k.changes.log(r, "entry of an earlier start ignored", logrus.Fields{"present": old.Born})
 		return
 	}
 	delete(k.missing, r.ID)
@@ -165,7 +165,7 @@
 	}
 	if !known || restarted {
 		k.found[r.ID] = now
-		k.d.log.WithFields(fields).WithField("again", restarted).Info("endpoint found")
+		k.changes.log(r, "endpoint found", logrus.Fields{"again": restarted})
 	}
 	t := k.addToPool(r)
 	if r.Leaving && !(known && !restarted && old.Leaving) && t != nil {
@@ -174,7 +174,7 @@
 			left = k.d.Site().Bounds.Drain
 		}
 		t.Leave(now.Add(left))
-		k.d.log.WithFields(fields).WithField("left_ms", left.Milliseconds()).Info("endpoint leaves")
+		k.changes.log(r, "endpoint leaves", logrus.Fields{"left_ms": left.Milliseconds()})
 	}
 }
 
@@ -243,7 +243,7 @@
 	}
 	if !k.failedAt.IsZero() && now.Sub(k.failedAt) < missingGrace && !r.Leaving {
 		if !k.missing[id] {
-			k.d.log.WithFields(logrus.Fields{"part": "endpoints", "endpoint": id}).Info("entry missing after an outage of the store, endpoint still used")
+			k.changes.log(r, "entry missing after an outage of the store, endpoint still used", nil)
 		}
 		k.missing[id] = true
 		k.log.Remove(k.logged, id) // daemons that had no outage need not keep it
@@ -262,7 +262,7 @@
 		k.d.work(r.Service).Pool.Forget(id)
 	}
 	delete(k.unnamed, id)
-	k.d.log.WithFields(logrus.Fields{"part": "endpoints", "endpoint": id, "service": r.Service}).Info("endpoint gone")
+	k.changes.log(r, "endpoint gone", nil)
 }
 
 // tick drops the endpoints that are still missing when missingGrace is over.
@@ -272,6 +272,8 @@
 	if now.Sub(k.failedAt) < missingGrace {
 		return
 	}
+	k.changes.begin(k.d.log, len(k.missing))
+	defer k.changes.end()
 	for id := range k.missing {
 		k.drop(id, k.byID[id])
 	}
--- a/entry/wholefleet_test.go
+++ b/entry/wholefleet_test.go
@@ -94,4 +94,3 @@
 		assert.Less(t, w.linkBytes()-before, int64(daemons*gone*30), "only what has gone")
 	})
 }
-
