--- a/request/pool.go
+++ b/request/pool.go
@@ -34,6 +34,8 @@
 	batch       int                   // default concurrency of an endpoint
 
 	lastTick time.Time
+	inFlight atomic.Int64                 // in-flight requests of this daemon
+	counted  atomic.Pointer[poolCapacity] // as of the last tick of a large pool
 
 	hits  hitMemory
 	cost  PrefillCost
@@ -77,7 +79,7 @@
 	if p.ended[e.ID] {
 		return nil
 	}
-	t := newTarget(e, p.batch, &p.cost, &p.holds, p.savedStates.take(e.Hash()))
+	t := newTarget(e, p.batch, p, p.savedStates.take(e.Hash()))
 	t.role.Store(int32(p.standing.RoleOf(e.Version)))
 	t.resting.Store(t.Role() == rollout.Trial) // until the next Rule
 	p.byID[e.ID] = t
@@ -192,7 +194,7 @@
 	return leaving
 }
 
-// largePoolTick is the interval at which load estimates in a large pool are updated. At the usual interval this
+// largePoolTick is the interval at which the endpoints of a large pool are updated. At the usual interval this
 // took half a percent of a core with 10,000 endpoints.
 const largePoolTick = time.Second
 
@@ -200,9 +202,6 @@
 // requests.
 func (p *Pool) Tick(now time.Time) {
 	l := p.snapshot()
-	for _, t := range l.all {
-		t.Return(now)
-	}
 	p.mu.Lock()
 	passed := now.Sub(p.lastTick)
 	if l.large() && passed < largePoolTick {
@@ -216,23 +215,39 @@
 	p.lastTick = now
 	p.mu.Unlock()
 	for _, t := range l.all {
+		t.Return(now)
 		t.Class(now)
 		t.addSent(-fade * t.recentlySent())
 	}
+	if l.large() {
+		c := l.capacity()
+		p.counted.Store(&c)
+	}
 }
 
-// Capacity returns the total concurrency of the endpoints that are not excluded, and their estimated load.
+// poolCapacity is the total concurrency of endpoints and their estimated load.
+type poolCapacity struct{ batch, load int }
+
+// Capacity returns the total concurrency of the endpoints that are not excluded, and their estimated load; of a
+// large pool as of its last tick.
 func (p *Pool) Capacity() (batch, load int) {
-	for _, t := range p.Targets() {
+	l := p.snapshot()
+	if c := p.counted.Load(); c != nil && l.large() {
+		return c.batch, c.load
+	}
+	c := l.capacity()
+	return c.batch, c.load
+}
+
+func (l *poolList) capacity() (c poolCapacity) {
+	for _, t := range l.all {
 		if t.excluded.Load() {
 			continue
 		}
-		t.mu.Lock()
-		batch += t.batch
-		t.mu.Unlock()
-		load += int(t.load.Load())
+		c.batch += t.slots()
+		c.load += int(t.load.Load())
 	}
-	return batch, load
+	return c
 }
 
 // TotalPrefill returns the estimated prefill time of all prompts sent to the engines by all daemons, as far as
@@ -246,13 +261,7 @@
 func (p *Pool) PrefillTimes() (mean time.Duration, spread float64) { return p.cost.Times() }
 
 // InFlight returns the number of in-flight requests of this daemon.
-func (p *Pool) InFlight() int {
-	n := 0
-	for _, t := range p.Targets() {
-		n += int(t.ownLoad.Load())
-	}
-	return n
-}
+func (p *Pool) InFlight() int { return int(p.inFlight.Load()) }
 
 // Slots returns the mean concurrency of the endpoints that are not leaving, or 0 if there is none.
 func (p *Pool) Slots() float64 {
--- a/request/servicestate.go
+++ b/request/servicestate.go
@@ -179,11 +179,9 @@
 func (w *ServiceStates) Tick(now time.Time, daemons int) {
 	for _, k := range w.All() {
 		k.Pool.Tick(now)
-		batch, _ := k.Pool.Capacity()
-		switch {
-		case w.opts.NoLimit:
+		if w.opts.NoLimit {
 			k.Queue.Limit.Fix(noLimit)
-		case batch > 0:
+		} else if batch, _ := k.Pool.Capacity(); batch > 0 {
 			k.Queue.Limit.SetCapacity(batch, daemons)
 		}
 		k.Queue.Tick(now)
--- a/request/target.go
+++ b/request/target.go
@@ -62,6 +62,7 @@
 	Endpoint
 	hash         uint64
 	ownLoad      atomic.Int32  // in-flight requests of this daemon
+	poolLoad     *atomic.Int64 // the same at all endpoints of the pool
 	load         atomic.Int32  // estimated in-flight requests of all daemons
 	excluded     atomic.Bool   // excluded from routing: leaving or ejected
 	softEjected  atomic.Bool   // ejected only because requests failed that it had accepted
@@ -102,13 +103,13 @@
 )
 
 // newTarget returns the view of an endpoint without any report.
-func newTarget(e Endpoint, batch int, cost *PrefillCost, holds *slotTimeModel, s *advertisedState) *Target {
+func newTarget(e Endpoint, batch int, p *Pool, s *advertisedState) *Target {
 	if e.Slots > 0 {
 		batch = e.Slots
 	}
 	t := &Target{
-		Endpoint: e, hash: e.Hash(), batch: max(batch, 1), advertised: s,
-		backlog: newBacklog(cost, e.Memory), holds: holds, leavingCh: make(chan struct{}), flights: make(map[*Flight]struct{}),
+		Endpoint: e, hash: e.Hash(), batch: max(batch, 1), advertised: s, poolLoad: &p.inFlight,
+		backlog: newBacklog(&p.cost, e.Memory), holds: &p.holds, leavingCh: make(chan struct{}), flights: make(map[*Flight]struct{}),
 	}
 	t.ramp.Store(math.Float32bits(1))
 	return t
@@ -183,6 +184,7 @@
 // Begin counts a request sent by this daemon and registers its Flight, if any.
 func (t *Target) Begin(f *Flight) {
 	t.ownLoad.Add(1)
+	t.poolLoad.Add(1)
 	t.load.Add(1)
 	t.addSent(1)
 	t.mu.Lock()
@@ -208,6 +210,7 @@
 // End reverses Begin once the request has ended.
 func (t *Target) End(f *Flight) {
 	t.ownLoad.Add(-1)
+	t.poolLoad.Add(-1)
 	t.load.Add(-1)
 	t.mu.Lock()
 	defer t.mu.Unlock()
