conn: daemons compare members by digests of buckets, and forward news together

A new link brought the whole list of members from each side: 100 KB over each of 20 links of a daemon that joins 1,000. Above 64 members it now brings digests of 64 buckets, and the members of those that differ; a lasting difference between neighbours is settled in the same way. News beyond eight members a tick are forwarded together. A member's change no longer goes through all members for their digest. Daemons that do not know digests by bucket get whole lists after two heartbeats.

--- a/conn/member.go
+++ b/conn/member.go
@@ -123,6 +123,8 @@
 	Payload *Payload `codec:"p,omitempty"`
 	Members []Member `codec:"m,omitempty"`
 	Beat    *beat    `codec:"b,omitempty"`
+	Buckets []uint64 `codec:"d,omitempty"` // digests of the sender's members by bucket
+	Pull    uint64   `codec:"u,omitempty"` // buckets of which the sender requests newer members than these
 	Want    int64    `codec:"w,omitempty"` // requests the entries after version Want-1; 0 if none
 	Ask     *ask     `codec:"q,omitempty"`
 }
@@ -132,7 +134,8 @@
 type beat struct {
 	Digest  uint64 `codec:"d"`
 	Version int64  `codec:"v"`
-	Full    bool   `codec:"f,omitempty"` // accompanies the complete member list, sent because digests differed
+	Full    bool   `codec:"f,omitempty"` // accompanies members that are sent because digests differed
+	Buckets bool   `codec:"b,omitempty"` // the sender knows digests by bucket
 }
 
 // Timing holds the intervals and timeouts of the overlay.
@@ -172,7 +175,8 @@
 
 type neighbour struct {
 	lastReceived     time.Time
-	digestMismatches int // consecutive heartbeats with a different digest
+	digestMismatches int  // consecutive heartbeats with a different digest
+	buckets          bool // it knows digests by bucket
 }
 
 type origin struct {
--- a/conn/mesh.go
+++ b/conn/mesh.go
@@ -38,6 +38,7 @@
 	lastRetry  time.Time
 	retries    int
 	pending    []Send // frames due after Learn, sent at the next Tick
+	spread     memberSpread
 }
 
 // NewMesh returns the overlay state of a daemon that knows no other member.
@@ -135,28 +136,42 @@
 		return false // never known alive here
 	}
 	m.members[x.Name] = &memberRecord{Member: x, since: now}
-	m.updateDigest()
+	if k != nil {
+		m.count(k.Member, -1)
+	}
+	m.count(x, 1)
+	m.alive, m.wanted = nil, nil
 	return true
 }
 
+// count adds a member to the digest and the counts, or removes it if by is -1.
+func (m *Mesh) count(x Member, by int) {
+	if x.State == MemberAlive {
+		m.countAlive += by
+	}
+	if x.State != MemberLeft {
+		m.countKnown += by
+	}
+	m.digest ^= x.digest()
+}
+
+// digest returns the member's part of the digest of all.
+func (m Member) digest() uint64 {
+	if m.State > MemberSuspect {
+		return 0
+	}
+	return xxhash.Sum64String(m.Name) * uint64(m.rank()+int64(m.Refuted)+1)
+}
+
 // updateDigest recomputes the digest and counts after a change of members, and resets the
 // caches; the caller holds m.mu.
 func (m *Mesh) updateDigest() {
 	m.alive, m.wanted = nil, nil
 	m.countAlive, m.countKnown = 0, 0
-	var d uint64
+	m.digest = 0
 	for _, k := range m.members {
-		if k.State == MemberAlive {
-			m.countAlive++
-		}
-		if k.State != MemberLeft {
-			m.countKnown++
-		}
-		if k.State <= MemberSuspect {
-			d ^= xxhash.Sum64String(k.Name) * uint64(k.rank()+int64(k.Refuted)+1)
-		}
+		m.count(k.Member, 1)
 	}
-	m.digest = d
 }
 
 // Wanted returns the members to have links with: all up to Timing.FullMesh, else those at ring
@@ -197,15 +212,15 @@
 	return out
 }
 
-// Up registers a new link and sends the neighbour all known members.
+// Up registers a new link and sends the neighbour the known members, or their digests if they are many.
 func (m *Mesh) Up(now time.Time, peer Member) []Send {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	fresh := m.merge(now, peer)
 	m.neighbours[peer.Name] = &neighbour{lastReceived: now}
-	out := []Send{m.to(peer.Name, message{Members: m.allMembers(), Beat: m.beat()})}
+	out := []Send{m.to(peer.Name, m.greeting(peer))}
 	if fresh {
-		out = append(out, m.spreadMembers([]Member{peer}, peer.Name)...)
+		out = append(out, m.spreadNews([]Member{peer}, peer.Name)...)
 	}
 	return out
 }
@@ -225,7 +240,7 @@
 	return out
 }
 
-func (m *Mesh) beat() *beat { return &beat{Digest: m.digest, Version: m.version} }
+func (m *Mesh) beat() *beat { return &beat{Digest: m.digest, Version: m.version, Buckets: true} }
 
 func (m *Mesh) to(name string, msg message) Send { return Send{name, frameOf(msg)} }
 
@@ -281,6 +296,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	out := append(m.pending, m.refute(now)...)
+	out = append(out, m.flushNews()...)
 	m.pending = nil
 	if now.Sub(m.lastBeat) >= m.timing.Beat {
 		m.lastBeat = now
@@ -318,8 +334,9 @@
 	}
 	news := m.mergeMembers(now, msg.Members)
 	if len(news) > 0 && (msg.Beat == nil || len(news) <= maxSpreadMembers) {
-		out = append(out, m.spreadMembers(news, from)...)
+		out = append(out, m.spreadNews(news, from)...)
 	}
+	out = append(out, m.reconcile(from, msg)...)
 	out = append(out, m.refute(now)...)
 	var in []Delivery
 	if msg.Payload != nil {
@@ -360,17 +377,20 @@
 	if nb == nil {
 		return nil
 	}
+	nb.buckets = b.Buckets
 	nb.digestMismatches++
 	if b.Digest == m.digest {
 		nb.digestMismatches = 0
 	}
-	// A change in transit makes digests differ for a moment; the complete list is
-	// sent only for a difference that lasts.
+	// A change in transit makes digests differ for a moment; members are sent only
+	// for a difference that lasts.
 	if nb.digestMismatches >= 2 && !b.Full {
 		nb.digestMismatches = 0
-		reply := m.beat()
-		reply.Full = true
-		out = append(out, m.to(from, message{Members: m.allMembers(), Beat: reply}))
+		if nb.buckets && len(m.members) > maxGreeting {
+			out = append(out, m.to(from, message{Buckets: m.buckets()}))
+		} else {
+			out = append(out, m.to(from, message{Members: m.allMembers(), Beat: m.fullBeat()}))
+		}
 	}
 	if b.Version > m.version {
 		out = append(out, m.to(from, message{Want: m.version + 1}))
