entry: daemons that start leave the tables of the store to their zone's reader

Each daemon read the member rows, the catalog and all endpoints from the store when it started: of 1,000 daemons and 10,000 endpoints 4 GB; of the member rows only the first 500, so that half of a large fleet was never found there and wrote its rows again at each start. All rows were in one part, which takes 200 writes a second. Member rows are now in a part for each zone and read to the end; a daemon reads its own zone's, gets the rest from its reader, and copies the catalog and the list from it.

--- a/entry/contact.go
+++ b/entry/contact.go
@@ -17,6 +17,7 @@
 	reported    chan struct{}             // closed on the first report of what another daemon admits
 	lastReport  atomic.Int64              // time of the last such report, nanoseconds after began; 0 for never
 	levelsKnown atomic.Bool               // bucket levels were received
+	zoneRead    atomic.Bool               // the daemons of the own zone were read from the store
 	counted     atomic.Bool               // the number of daemons was read from the store, or received from a daemon that has it
 	cutOff      atomic.Bool               // no other daemon is reached
 	readerLost  atomic.Int64              // last failed query to another reader, nanoseconds after began; 0 for never
--- a/entry/feeder.go
+++ b/entry/feeder.go
@@ -30,16 +30,21 @@
 	whole, up, began := true, true, false
 	var pause time.Duration
 	for ctx.Err() == nil {
-		if !f.d.readsStore(clock.Now()) {
-			sleep(ctx, idlePause)
-			continue
-		}
+		now := clock.Now()
 		if v := known(); v > at {
 			at, whole = v, false
 		}
+		if f.d.awaitsReader(now) {
+			sleep(ctx, startPoll)
+			continue
+		}
+		if !f.d.readsStore(now) || whole && at > 0 && f.d.reliesOnReaders() {
+			sleep(ctx, idlePause)
+			continue
+		}
 		sent := clock.Now()
 		p, err := f.ask(ctx, at, whole, began)
-		now := clock.Now()
+		now = clock.Now()
 		if err == nil {
 			err = take(now, sent, p, whole)
 		}
@@ -95,12 +100,7 @@
 	if !whole {
 		return f.d.store.Feed(ctx, f.table, at, f.wait())
 	}
-	all, err := f.d.store.Rows(ctx, f.table, "", "")
-	for more := all; err == nil && more.More && len(more.Rows) > 0; {
-		more, err = f.d.store.Rows(ctx, f.table, "", more.Rows[len(more.Rows)-1].Key+"\x00")
-		all.Rows = append(all.Rows, more.Rows...)
-	}
-	return all, err
+	return f.d.store.AllRows(ctx, f.table, "")
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/entry/fleetmodel_test.go
+++ b/entry/fleetmodel_test.go
@@ -64,6 +64,11 @@
 			took, ok := w.awaitLists(endpoints+modelPlain, 20*time.Second)
 			return fmt.Sprint("all know the list: ", ok, " after ", took)
 		})
+		for _, path := range []string{"get", "feed", "parts", "tx"} {
+			for _, table := range []string{"", " " + platform.CatalogTable, " " + platform.RunnerTable, " streambend-daemons", " streambend"} {
+				t.Logf("store calls of rows-%s%s: %d", path, table, w.store.Calls("/streambend/rows-"+path+table))
+			}
+		}
 		var m runtime.MemStats
 		runtime.GC()
 		runtime.ReadMemStats(&m)
--- a/entry/members.go
+++ b/entry/members.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
+	"streambend.example/clock"
 	"streambend.example/conn"
 	"streambend.example/platform"
 )
@@ -19,21 +21,39 @@
 	// reads them.
 	memberPeriod = 15 * time.Second
 	seedPeriod   = time.Second
+	// rowsSettleTime is how long after it has written its row a daemon waits to read those of its zone when the
+	// whole system starts for the first time: sooner it would not find its reader.
+	rowsSettleTime = 100 * time.Millisecond
 )
 
+// The daemons' rows are in a part for each zone, as a part takes a limited number of writes a second, and all
+// daemons may start at once. A daemon reads its own zone's; the reader of a zone reads those of all, and the others
+// learn of them over the links.
+
 // syncMembers writes this daemon's row and reads the others', so that daemons without neighbours find
 // each other. Further membership changes come over the links.
 func (d *Daemon) syncMembers(ctx context.Context) {
 	d.connectSeeds() // before the first call to the store, which may only fail by its timeout
-	// A daemon that restarts finds its row, and need not write it.
-	written := !d.Site().First && d.readMembers(ctx)
-	for read := written; ctx.Err() == nil; read = false {
+	written, read := false, false
+	if d.Site().First {
+		written = d.writeMember(ctx)
+		sleep(ctx, rowsSettleTime)
+	} else {
+		// A daemon that restarts finds its row, and need not write it.
+		written = d.readZone(ctx)
+		read = written
+	}
+	d.run(func() { d.copyFromReader(ctx) })
+	for ; ctx.Err() == nil; read = false {
 		if !written {
 			written = d.writeMember(ctx)
 		}
 		alone := d.Hub.Mesh.Neighbours() == 0
 		if !read && (alone || !d.largeFleet() || d.isReader() || !d.contact.counted.Load()) {
-			d.readMembers(ctx)
+			d.readZone(ctx)
+		}
+		if d.isReader() || clock.Since(d.began) > seedPeriod && (alone || !d.largeFleet()) {
+			d.readAllZones(ctx)
 		}
 		pause := memberPeriod
 		if alone {
@@ -60,7 +80,7 @@
 	defer cancel()
 	v, err := json.Marshal(d.Self)
 	if err == nil {
-		_, err = d.store.Apply(ctx, platform.Change{Write: []platform.Row{{Table: memberTable, Key: d.Self.Name, Value: v}}})
+		_, err = d.store.Apply(ctx, platform.Change{Write: []platform.Row{{Table: memberTable, Part: d.Self.Zone, Key: d.Self.Name, Value: v}}})
 	}
 	if err != nil {
 		d.log.WithField("part", "members").Warnf("own member row not written: %v", err)
@@ -68,16 +88,50 @@
 	return err == nil
 }
 
-// readMembers reads the daemons' rows, and reports whether this daemon's current row is among them.
-func (d *Daemon) readMembers(ctx context.Context) (own bool) {
+// readZone reads the rows of this daemon's zone, and reports whether its own current row is among them.
+func (d *Daemon) readZone(ctx context.Context) (own bool) {
+	found, ok := d.readMembers(ctx, d.Self.Zone)
+	if ok {
+		d.contact.zoneRead.Store(true)
+	}
+	return slices.ContainsFunc(found, func(m conn.Member) bool {
+		return m.Name == d.Self.Name && m.Address == d.Self.Address && m.Zone == d.Self.Zone && m.Power == d.Self.Power
+	})
+}
+
+// readAllZones reads the rows of the other zones, and of daemons that do not write theirs by zone.
+func (d *Daemon) readAllZones(ctx context.Context) {
+	parts, err := d.memberParts(ctx)
+	if err != nil {
+		d.log.WithField("part", "members").Warnf("zones of the member rows not read: %v", err)
+		return
+	}
+	for _, part := range parts {
+		if part == d.Self.Zone {
+			continue
+		}
+		if _, ok := d.readMembers(ctx, part); !ok {
+			return
+		}
+	}
+	d.contact.counted.Store(true)
+}
+
+func (d *Daemon) memberParts(ctx context.Context) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
+	defer cancel()
+	return d.store.Parts(ctx, memberTable)
+}
+
+// readMembers reads the rows of a part.
+func (d *Daemon) readMembers(ctx context.Context, part string) (found []conn.Member, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
 	defer cancel()
-	p, err := d.store.Rows(ctx, memberTable, "", "")
+	p, err := d.store.AllRows(ctx, memberTable, part)
 	if err != nil {
 		d.log.WithField("part", "members").Warnf("member rows not read: %v", err)
-		return false
+		return nil, false
 	}
-	var found []conn.Member
 	for _, r := range p.Rows {
 		var m conn.Member
 		if err := json.Unmarshal(r.Value, &m); err != nil || m.Name != r.Key || m.Address == "" {
@@ -85,9 +139,22 @@
 			continue
 		}
 		found = append(found, m)
-		own = own || m.Name == d.Self.Name && m.Address == d.Self.Address && m.Zone == d.Self.Zone && m.Power == d.Self.Power
 	}
 	d.Hub.Mesh.Learn(time.Now(), found)
-	d.contact.counted.Store(true)
-	return own
+	return found, true
+}
+
+// membersBeyond returns the daemons of other zones for one that knows fewer daemons than this one: those that start
+// together learn of their own zone from the store, and of the others from its reader.
+func (d *Daemon) membersBeyond(q freshQuery) (out []conn.Member) {
+	all := d.Hub.Mesh.Members()
+	if q.Zone == "" || q.Members >= len(all) {
+		return nil
+	}
+	for _, m := range all {
+		if m.Zone != q.Zone {
+			out = append(out, m)
+		}
+	}
+	return out
 }
--- a/entry/outage_test.go
+++ b/entry/outage_test.go
@@ -18,7 +18,11 @@
 
 // storeCalls returns the number of reads and writes of the store.
 func (w *world) storeCalls() int {
-	return w.store.Calls("/streambend/rows-feed") + w.store.Calls("/streambend/rows-get") + w.store.Calls("/streambend/rows-tx")
+	n := 0
+	for _, call := range []string{"feed", "get", "parts", "tx"} {
+		n += w.store.Calls("/streambend/rows-" + call)
+	}
+	return n
 }
 
 func TestManyDaemonsDoNotOverloadAFailedStore(t *testing.T) {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -51,6 +51,9 @@
 	Fetch   bool     `codec:"f,omitempty"` // requests the next piece of a newer catalog
 	Got     progress `codec:"g"`           // pieces that the asker has
 
+	Zone    string `codec:"z,omitempty"` // of an asker that does not know the daemons of other zones yet
+	Members int    `codec:"m,omitempty"` // number of daemons that it knows
+
 	List *listQuery `codec:"x,omitempty"` // absent if the asker does not know pieces of the list of endpoints
 
 	Tally   *conn.Tally `codec:"t,omitempty"` // the asker's own, in a large fleet
@@ -74,6 +77,7 @@
 	Whole   bool          `codec:"h,omitempty"` // Entries holds all endpoints
 	Orders  []orderReport `codec:"o,omitempty"` // rollout orders, as of the catalog
 	Daemons int           `codec:"n,omitempty"` // daemons known to the answering one; 0 until it has counted them
+	Members []conn.Member `codec:"m,omitempty"` // those of other zones than the asker's, if it names that
 
 	Source string           `codec:"s,omitempty"` // the answering daemon's process
 	Flow   map[string]int64 `codec:"w,omitempty"` // units admitted by others, by team, since that process started
@@ -107,27 +111,6 @@
 	return manyPause
 }
 
-// syncAtStart queries readers in turn, its own zone's first, until one has reported the time of day and, in a
-// large fleet, admissions and bucket levels, so that a daemon has them by the time it is ready. It waits
-// until the daemon has a catalog and endpoints: the store serves all daemons in parallel, a reader sends
-// them one after the other over each link.
-func (d *Daemon) syncAtStart(ctx context.Context) {
-	if d.Site().First {
-		return
-	}
-	asked := 0
-	for pause := startPause; ctx.Err() == nil && clock.Since(d.began) < manyPause && !d.contact.levelsKnown.Load(); sleep(ctx, pause) {
-		readers := d.roster().Asked
-		if d.catalog.get() == nil || !d.runners.known() || len(readers) == 0 {
-			continue
-		}
-		name := readers[asked%len(readers)]
-		d.run(func() { d.syncWithPeer(ctx, name) })
-		asked++
-		pause *= 2
-	}
-}
-
 // syncWithPeers queries a reader, unless this daemon reads the store with success.
 func (d *Daemon) syncWithPeers(ctx context.Context, now time.Time) {
 	old := d.behind(now)
@@ -215,6 +198,9 @@
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	q := freshQuery{Runners: d.runners.current(), Fetch: fetch, Got: d.incomingCatalog.progress(), List: d.runners.query(clock.Now(), name)}
+	if _, known := d.Hub.Mesh.Counts(); !d.contact.counted.Load() {
+		q.Zone, q.Members = d.Self.Zone, known
+	}
 	q.Started = !d.Site().First && !d.contact.levelsKnown.Load()
 	if c := d.catalog.get(); c != nil {
 		q.Catalog = c.Version
@@ -238,6 +224,7 @@
 	if a.Known {
 		moreCatalog, moreList = d.applyFresh(sent, name, q, a)
 	}
+	d.Hub.Mesh.Learn(sent, a.Members)
 	if _, known := d.Hub.Mesh.Counts(); a.Daemons > 0 && known >= a.Daemons {
 		d.contact.counted.Store(true) // every member that the other daemon counted is known here
 	}
@@ -357,6 +344,7 @@
 	}
 	if d.fleet().Counted {
 		_, a.Daemons = d.Hub.Mesh.Counts()
+		a.Members = d.membersBeyond(q)
 	}
 	now := clock.Now()
 	age, ok := d.catalog.fresh.Age(now) // before the state is read, so that the state is not older than its age says
--- a/internal/standin/rows.go
+++ b/internal/standin/rows.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -79,6 +80,7 @@
 	s := &Rows{began: time.Now(), version: 1, rows: make(map[rowKey]storedRow), wake: make(chan struct{}), calls: make(map[string]int)}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /streambend/rows-get", s.withFaults(s.serveGet))
+	mux.HandleFunc("GET /streambend/rows-parts", s.withFaults(s.serveParts))
 	mux.HandleFunc("GET /streambend/rows-feed", s.withFaults(s.serveFeed))
 	mux.HandleFunc("POST /streambend/rows-tx", s.withFaults(s.serveTx))
 	var err error
@@ -105,7 +107,7 @@
 	return s.fault.Busy || s.fault.RejectedDaemons[r.Header.Get(daemonHeader)]
 }
 
-// Calls returns the number of requests for a path.
+// Calls returns the number of requests for a path, or for a path and, after a space, a table.
 func (s *Rows) Calls(path string) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -164,6 +166,7 @@
 		s.mu.Lock()
 		f := s.fault
 		s.calls[r.URL.Path]++
+		s.calls[r.URL.Path+" "+r.URL.Query().Get("table")]++
 		away := s.rejects(r)
 		s.mu.Unlock()
 		if away {
@@ -215,6 +218,18 @@
 	return http.StatusOK, p
 }
 
+func (s *Rows) serveParts(_ http.ResponseWriter, r *http.Request) (int, any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	parts := make(map[string]bool)
+	for k, v := range s.rows {
+		if k.table == r.URL.Query().Get("table") && !v.removed {
+			parts[k.part] = true
+		}
+	}
+	return http.StatusOK, map[string]any{"parts": slices.Sorted(maps.Keys(parts)), "schema_version": s.version}
+}
+
 func (s *Rows) serveFeed(_ http.ResponseWriter, r *http.Request) (int, any) {
 	q := r.URL.Query()
 	after, _ := strconv.ParseInt(q.Get("after_revision"), 10, 64) // the adapter always sends a number
