--- a/entry/tally.go
+++ b/entry/tally.go
@@ -53,6 +53,7 @@
 	since            int64                             // start of the current listening period, Unix milliseconds
 	countedElsewhere bool                              // a reader's sums count what others admit, instead of tallies
 	flow             map[string]map[string]int64       // units that each daemon is known to have admitted, by daemon and team
+	total            map[string]int64                  // sum of flow over the daemons, by team
 	sent             map[string]map[daemonStart]uint64 // sequence numbers sent so far, by neighbour
 }
 
@@ -67,7 +68,7 @@
 	return &Tallies{
 		since:  self.Start,
 		self:   conn.Tally{Daemon: self.Name, Start: self.Start, Admit: make(map[string]int64), Back: make(map[string]int64), Trials: make(map[string]rollout.Tally), Windows: make(map[int64]map[string]int)},
-		others: make(map[daemonStart]remoteTally), flow: make(map[string]map[string]int64), sent: make(map[string]map[daemonStart]uint64),
+		others: make(map[daemonStart]remoteTally), flow: make(map[string]map[string]int64), total: make(map[string]int64), sent: make(map[string]map[daemonStart]uint64),
 	}
 }
 
@@ -223,7 +224,7 @@
 		if known && old.term == t.term || x.Start >= t.since { // otherwise this tally is the baseline
 			for _, a := range admittedSince(old.tally, x) {
 				out = append(out, a)
-				t.admittedBy(x.Daemon)[a.Team] += a.Units
+				t.addAdmitted(x.Daemon, a)
 			}
 		}
 		t.edit++
@@ -250,14 +251,13 @@
 	t.countedElsewhere = true
 }
 
-// admittedBy returns the units that a daemon is known to have admitted, by team; the caller holds the lock.
-func (t *Tallies) admittedBy(daemon string) map[string]int64 {
-	f := t.flow[daemon]
-	if f == nil {
-		f = make(map[string]int64)
-		t.flow[daemon] = f
+// addAdmitted records what a daemon is known to have admitted; the caller holds the lock.
+func (t *Tallies) addAdmitted(daemon string, a Admitted) {
+	if t.flow[daemon] == nil {
+		t.flow[daemon] = make(map[string]int64)
 	}
-	return f
+	t.flow[daemon][a.Team] += a.Units
+	t.total[a.Team] += a.Units
 }
 
 // Own returns this daemon's tally.
@@ -276,12 +276,12 @@
 	for team, n := range t.self.Back {
 		out[team] -= n
 	}
-	for daemon, teams := range t.flow {
-		if daemon == except {
-			continue
-		}
-		for team, n := range teams {
-			out[team] += n
+	for team, n := range t.total {
+		out[team] += n
+	}
+	for team, n := range t.flow[except] {
+		if out[team] -= n; out[team] == 0 {
+			delete(out, team)
 		}
 	}
 	return out
