entry: a list too long for a daemon of the version before is not taken for current

Such a daemon that lacks more than 2 MB of the list got none of it, with its own version as the one that the answer is complete up to, and would have taken its list for fresh. It is now told that the list is not known, and asks another daemon or the store. Found by reading; no run with such a list.

--- a/entry/listtransfer.go
+++ b/entry/listtransfer.go
@@ -111,24 +111,24 @@
 }
 
 // unpaged returns the changes after a version for a daemon that does not know pieces; whole is true if they are
-// the whole list. It returns none, and the asker's version, if they are too many for one answer.
-func (k *endpointTracker) unpaged(version int64) (at int64, rows []entryRow, whole bool) {
+// the whole list, and ok is false if they are too many for one answer.
+func (k *endpointTracker) unpaged(version int64) (at int64, rows []entryRow, whole, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if k.changed <= version {
-		return k.version, nil, false
+		return k.version, nil, false, true
 	}
 	c := k.log.Since(version)
 	changed, _, more := k.log.Next(c, maxUnpagedSize, rowSize)
 	if more {
-		return version, nil, false
+		return 0, nil, false, false
 	}
 	for _, r := range changed {
 		if !c.Whole || !r.Removed {
 			rows = append(rows, entryRow{r.Key, r.Value, r.Removed})
 		}
 	}
-	return k.version, rows, c.Whole
+	return k.version, rows, c.Whole, true
 }
 
 // takePiece applies a piece of another daemon's list, which is complete up to version with the last piece. It
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -365,7 +365,7 @@
 		}
 	}
 	if q.List == nil {
-		a.Runners, a.Entries, a.Whole = d.runners.unpaged(q.Runners)
+		a.Runners, a.Entries, a.Whole, a.Known = d.runners.unpaged(q.Runners)
 		return conn.Marshal(a), nil
 	}
 	var err error
