--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -91,6 +91,7 @@
 	incomingCatalog assembly      // the pieces fetched so far
 	packedCatalogs  packedCache   // packed catalogs served to other daemons
 	suspendedTotal  time.Duration // total time the box was suspended, as last seen; used by one goroutine
+	zones           []string      // zones whose member rows are still to be read in this round; used by one goroutine
 	asked           int           // rounds of questions to daemons other than readers; used by one goroutine
 
 	ctx    context.Context
--- a/entry/members.go
+++ b/entry/members.go
@@ -49,11 +49,15 @@
 			written = d.writeMember(ctx)
 		}
 		alone := d.Hub.Mesh.Neighbours() == 0
-		if !read && (alone || !d.largeFleet() || d.isReader() || !d.contact.counted.Load()) {
+		counted := d.contact.counted.Load()
+		if !read && !counted {
 			d.readZone(ctx)
 		}
-		if d.isReader() || clock.Since(d.began) > seedPeriod && (alone || !d.largeFleet()) {
+		switch {
+		case !counted && (alone || d.isReader() || clock.Since(d.began) > seedPeriod):
 			d.readAllZones(ctx)
+		case counted && (alone || d.isReader() || !d.largeFleet()):
+			d.readNextZone(ctx)
 		}
 		pause := memberPeriod
 		if alone {
@@ -114,9 +118,22 @@
 			return
 		}
 	}
+	d.zones = parts
 	d.contact.counted.Store(true)
 }
 
+// readNextZone reads the rows of one zone, all in turn, so that groups of daemons that do not know each other are
+// found at the cost of one call a period.
+func (d *Daemon) readNextZone(ctx context.Context) {
+	if len(d.zones) == 0 {
+		d.zones, _ = d.memberParts(ctx) // an error is met again by the next call
+		return
+	}
+	part := d.zones[0]
+	d.zones = d.zones[1:]
+	d.readMembers(ctx, part)
+}
+
 func (d *Daemon) memberParts(ctx context.Context) ([]string, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
 	defer cancel()
