--- a/entry/startup.go
+++ b/entry/startup.go
@@ -46,8 +46,7 @@
 
 // syncAtStart queries readers in turn, its own zone's first, until one has reported the time of day and, in a
 // large fleet, admissions and bucket levels, so that a daemon has them by the time it is ready. It waits
-// until the daemon has a catalog and endpoints: the store serves all daemons in parallel, a reader sends
-// them one after the other over each link.
+// until the daemon has the catalog and the endpoints, which are needed first (copyFromReader).
 func (d *Daemon) syncAtStart(ctx context.Context) {
 	if d.Site().First {
 		return
