replica, entry: a log begins with the first whole read

A daemon that starts does not know what was removed before its first list. A copy from before it got only later changes, and kept endpoints that had ended meanwhile: a reader that restarted would have left them in its zone's lists. Found by reading; TestACopyFromBeforeTheLogGetsAllRows.

--- a/entry/runners.go
+++ b/entry/runners.go
@@ -147,6 +147,7 @@
 	}
 	if k.readAt.IsZero() {
 		k.readAt = now
+		k.log.Begin(k.logged)
 	}
 }
 
--- a/replica/log.go
+++ b/replica/log.go
@@ -22,7 +22,7 @@
 	pos     uint64         // position of the last entry
 	rows    int
 	removed int
-	floor   int64 // removals up to this version have been dropped
+	floor   int64 // removals up to this version are not known
 }
 
 type entry[V any] struct {
@@ -48,6 +48,9 @@
 	return l.entries[i].Value, true
 }
 
+// Begin records that the rows are complete as of a version, and that earlier removals are not known.
+func (l *Log[V]) Begin(version int64) { l.floor = max(l.floor, version) }
+
 // Set records that a row has changed at a version, which must not be lower than that of earlier changes.
 func (l *Log[V]) Set(version int64, key string, v V) {
 	l.append(version, Row[V]{Key: key, Value: v})
--- a/replica/log_test.go
+++ b/replica/log_test.go
@@ -102,3 +102,15 @@
 		l.Next(l.Since(9_990), 1000, size)
 	}
 }
+
+// A log that begins with a read of all rows does not know what was removed before. A copy from before that read
+// must get all rows: otherwise it keeps rows that were removed in between, such as endpoints that have ended while
+// the daemon that it copies from restarted.
+func TestACopyFromBeforeTheLogGetsAllRows(t *testing.T) {
+	var l replica.Log[int]
+	l.Set(10, "a", 1)
+	assert.False(t, l.Since(5).Whole, "no read of all rows yet")
+	l.Begin(10)
+	assert.True(t, l.Since(5).Whole)
+	assert.False(t, l.Since(10).Whole)
+}
