conn, request, entry: count dials and ejected endpoints, name the error of an ejection

Callers of a daemon that reaches no endpoint are refused while others serve. From the logs of such a daemon it could not be told whether its dials fail all the time or whether ejections outlive a short failure: an ejection did not name its error, and at 200 lines a second many lines are left out. No decision changes.

--- a/conn/endpoint.go
+++ b/conn/endpoint.go
@@ -65,24 +65,50 @@
 	return x.Close()
 }
 
+// DialCounts counts the connections that a Client has tried to open.
+type DialCounts struct {
+	Opened, Failed atomic.Int64
+}
+
+// dial wraps a dial function so that its results are counted. A dial that is no longer wanted counts as neither.
+func (c *DialCounts) dial(next dialFunc) dialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		nc, err := next(ctx, network, address)
+		switch {
+		case err == nil:
+			c.Opened.Add(1)
+		case ctx.Err() == nil:
+			c.Failed.Add(1)
+		}
+		return nc, err
+	}
+}
+
+type dialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Client calls endpoints. It is safe for concurrent use.
 type Client struct {
+	Dials DialCounts
+
 	pooled *http.Client
 	single *http.Client
 	limit  int64
-	dial   func(ctx context.Context, network, address string) (net.Conn, error)
+	dial   dialFunc
 }
 
 // NewClient returns a client that reads response bodies of at most limit bytes.
 func NewClient(n seam.Network, limit int64) *Client {
+	c := &Client{limit: limit}
+	c.dial = c.Dials.dial(n.Dial)
 	pooled := &http.Transport{
-		DialContext: n.Dial, MaxIdleConns: 4096, MaxIdleConnsPerHost: 256, IdleConnTimeout: 90 * time.Second, DisableCompression: true,
+		DialContext: c.dial, MaxIdleConns: 4096, MaxIdleConnsPerHost: 256, IdleConnTimeout: 90 * time.Second, DisableCompression: true,
 	}
 	// net/http retries a request on its own when a reused connection turns out
 	// to be closed, but never on a new connection. Calls that must not be
 	// repeated therefore each use a new connection.
-	single := &http.Transport{DialContext: n.Dial, DisableKeepAlives: true, DisableCompression: true}
-	return &Client{pooled: &http.Client{Transport: pooled}, single: &http.Client{Transport: single}, limit: limit, dial: n.Dial}
+	single := &http.Transport{DialContext: c.dial, DisableKeepAlives: true, DisableCompression: true}
+	c.pooled, c.single = &http.Client{Transport: pooled}, &http.Client{Transport: single}
+	return c
 }
 
 // Close closes the idle connections.
--- a/request/pool.go
+++ b/request/pool.go
@@ -250,6 +250,17 @@
 	return c
 }
 
+// ejected returns how many endpoints are ejected, and how many there are.
+func (p *Pool) ejected() (ejected, listed int) {
+	all := p.snapshot().all
+	for _, t := range all {
+		if t.Ejected() {
+			ejected++
+		}
+	}
+	return ejected, len(all)
+}
+
 // TotalPrefill returns the estimated prefill time of all prompts sent to the engines by all daemons, as far as
 // this daemon knows of them.
 func (p *Pool) TotalPrefill() time.Duration {
--- a/request/requestlog.go
+++ b/request/requestlog.go
@@ -90,7 +90,11 @@
 	}
 }
 
-// logEject logs the ejection of an endpoint.
-func (r *run) logEject(t *Target, why string) {
-	r.log.WithFields(logrus.Fields{"endpoint": t.ID, "service": r.work.Pool.Service, "request": r.req.ID}).Warnf("ejected: %s", why)
+// logEject logs the ejection of an endpoint, the error behind it if there is one, and how many of the service's
+// endpoints are ejected now.
+func (r *run) logEject(t *Target, why string, failure error) {
+	ejected, listed := r.work.Pool.ejected()
+	r.log.WithFields(logrus.Fields{
+		"endpoint": t.ID, "service": r.work.Pool.Service, "request": r.req.ID, "error": failure, "ejected": ejected, "listed": listed,
+	}).Warnf("ejected: %s", why)
 }
--- a/request/servicestate.go
+++ b/request/servicestate.go
@@ -162,6 +162,15 @@
 	delete(w.byID, key)
 }
 
+// Ejected returns the number of ejected endpoints of all services.
+func (w *ServiceStates) Ejected() (n int) {
+	for _, k := range w.All() {
+		ejected, _ := k.Pool.ejected()
+		n += ejected
+	}
+	return n
+}
+
 // ByHash returns the endpoint instance with an Endpoint.Hash, or nil.
 func (w *ServiceStates) ByHash(hash uint64) *Target {
 	for _, k := range w.All() {
--- a/request/settle.go
+++ b/request/settle.go
@@ -38,7 +38,7 @@
 		r.ends.connectionClosed(r.baseCtx, t, crash.Flight{Print: r.print, For: now.Sub(r.started)})
 	}
 	if !errors.Is(failure, errStaleList) && !errors.Is(failure, errBarred) {
-		r.recordOutcome(now, t, e)
+		r.recordOutcome(now, t, e, failure)
 	}
 	r.noteTrial(now, t, e, failure)
 	a := AttemptOutcome{
@@ -93,7 +93,7 @@
 }
 
 // recordOutcome reports the outcome of an attempt to the target and to the concurrency limit.
-func (r *run) recordOutcome(now time.Time, t *Target, e Ending) {
+func (r *run) recordOutcome(now time.Time, t *Target, e Ending, failure error) {
 	switch e {
 	case EndedComplete:
 		// Recorded at the end of the answer, not at its first token: an endpoint that
@@ -103,11 +103,11 @@
 			t.RecordCall(now, now.Sub(r.started), r.work.Speed.Expect(0, 0))
 		}
 		if pace, ok := r.pace(now); ok && r.opts.Without.On(mechanism.SlowEjection) && t.RecordPace(now, pace, r.work.Speed.Pace(!r.req.IsModel())) {
-			r.logEject(t, fmt.Sprintf("slow: pace %s, usual pace %s", pace, r.work.Speed.Pace(!r.req.IsModel())))
+			r.logEject(t, fmt.Sprintf("slow: pace %s, usual pace %s", pace, r.work.Speed.Pace(!r.req.IsModel())), nil)
 		}
 	case EndedUnsent, EndedBroken:
 		if _, leaving := t.Leaving(); !leaving && t.Fail(now, e == EndedUnsent) {
-			r.logEject(t, e.String())
+			r.logEject(t, e.String(), failure)
 		}
 	case EndedRefused:
 		t.RecordFull(now)
