entry: failing test of daemons without a path to endpoints

While daemons reach no endpoint and others do, callers of the former are not served. The test cuts 1 of 3, 3 of 9, a whole zone, 8 of 9 and 40 of 80 daemons off from all endpoints, with connections that hang, are reset, or live on while new ones are refused.

--- a/entry/network_test.go
+++ b/entry/network_test.go
@@ -94,6 +94,7 @@
 	if strings.HasPrefix(address, runnerHost) {
 		n.w.dials.Add(1)
 		time.Sleep(time.Duration(n.w.connectDelay.Load()))
+		return n.w.endpointCuts.dial(ctx, n.name, func() (net.Conn, error) { return n.Network.Dial(ctx, network, address) })
 	}
 	if strings.HasSuffix(address, linkPort) {
 		return n.dialPeer(ctx, network, address)
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -54,6 +54,7 @@
 	dials         atomic.Int64             // connections to endpoints that daemons have tried to open
 	created       time.Time
 	isolated      atomic.Pointer[string] // daemon whose links to other daemons alone are cut; nil for none
+	endpointCuts  endpointCuts
 	log           worldLog
 }
 
