reach, request, entry: a daemon without a path to endpoints serves its callers through others

Cause: a daemon could send requests to endpoints itself only. Each request dialed one endpoint after the other, 400 ms each, and ejected them, until all were kept out and the rest was refused (1103, 1110), while the daemons that it reached served the same endpoints.

Package reach decides from failed and opened connections whether there is a path to a service, has another daemon confirm a loss (endpoints that have ended look the same from one daemon), and chooses by load and zone the daemon to send requests through. That daemon runs the request with all it knows and passes the answer back as it came, one hop, at most once for what may not be repeated. A request that no daemon takes over is refused at once with 1113. Probes end a loss within 0.3 s of the path. Nothing is dialed in vain and nothing ejected meanwhile, so that no ejection outlives the cut.

--- a/code/code.go
+++ b/code/code.go
@@ -37,6 +37,7 @@
 
 	CrashesEndpoints Code = 1111
 	AtLimits         Code = 1112
+	NoPath           Code = 1113
 
 	UnknownOutcome Code = 1201
 	NotWhole       Code = 1202
@@ -113,6 +114,7 @@
 	{Overloaded, "overloaded", http.StatusServiceUnavailable, NotRun, "Too much is waiting at the endpoints for an answer in time; come back after Retry-After."},
 	{CrashesEndpoints, "crashes-endpoints", http.StatusServiceUnavailable, NotRun, "Endpoints have crashed under this very request before; it is not run again before Retry-After."},
 	{AtLimits, "at-limits", http.StatusServiceUnavailable, NotRun, "Each endpoint that could take the request has said that it takes no more for now; come back after Retry-After."},
+	{NoPath, "no-path", http.StatusServiceUnavailable, NotRun, "The daemon reaches no endpoint of the service, and no other daemon takes the request over; come back after Retry-After."},
 	{UnknownOutcome, "unknown-outcome", http.StatusBadGateway, RanUnknown, "The request may have run; an unrepeatable one is never run again."},
 	{NotWhole, "not-whole", http.StatusBadGateway, RanUnknown, "No endpoint gave a whole answer in time."},
 	{CallerLate, "late", http.StatusGatewayTimeout, RanUnknown, "The deadline passed while the request ran."},
--- a/conn/endpoint.go
+++ b/conn/endpoint.go
@@ -70,6 +70,18 @@
 	Opened, Failed atomic.Int64
 }
 
+// dialError is the error of a connection that could not be opened.
+type dialError struct{ error }
+
+// Unwrap returns the cause.
+func (e dialError) Unwrap() error { return e.error }
+
+// DialFailed reports whether a call failed because no connection could be opened.
+func DialFailed(err error) bool {
+	var d dialError
+	return errors.As(err, &d)
+}
+
 // dial wraps a dial function so that its results are counted. A dial that is no longer wanted counts as neither.
 func (c *DialCounts) dial(next dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -79,6 +91,7 @@
 			c.Opened.Add(1)
 		case ctx.Err() == nil:
 			c.Failed.Add(1)
+			err = dialError{err}
 		}
 		return nc, err
 	}
--- a/conn/forward.go
+++ b/conn/forward.go
@@ -27,7 +27,7 @@
 	Body    []byte
 	Fresh   bool // use a new connection, so that net/http does not retry a request that may run only once
 
-	Connected func() // called once connected, before any byte is sent; may be nil
+	Connected func(reused bool) // called once connected, before any byte is sent; may be nil
 }
 
 // unrepeatableBody is a request body that net/http must not resend on its own: without
@@ -40,10 +40,10 @@
 // error is a Failure, which records whether the request may have reached the endpoint.
 func (c *Client) Forward(ctx context.Context, p ForwardRequest) (*http.Response, error) {
 	var sent atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		sent.Store(true)
 		if p.Connected != nil {
-			p.Connected()
+			p.Connected(i.Reused)
 		}
 	}}
 	req := &http.Request{
--- a/conn/link.go
+++ b/conn/link.go
@@ -46,6 +46,14 @@
 	return hex.EncodeToString(mac.Sum(nil))
 }
 
+// Sign returns the signature of a message to another daemon outside a link.
+func (h *Hub) Sign(message string) string { return h.sign("message", message) }
+
+// Signed reports whether a daemon that shares the secret has signed a message.
+func (h *Hub) Signed(message, signature string) bool {
+	return hmac.Equal([]byte(h.Sign(message)), []byte(signature))
+}
+
 // Headers of the link handshake.
 const (
 	headMember = "Streambend-Member"
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -67,6 +67,7 @@
 	sends          sendQueue
 	duties         *duties
 	rollouts       rolloutController
+	forwards       *forwarder
 	limits         permitGranter
 	teams          teamLimiter
 	words          reportExchange
@@ -132,6 +133,7 @@
 	d.catalog.d = d
 	d.runners = newEndpointTracker(d)
 	d.rollouts = newRolloutController(d)
+	d.forwards = newForwarder(d)
 	d.limits, d.teams, d.words = newPermitGranter(d), newTeamLimiter(d), newReportExchange(d)
 	d.tallies = NewTallies(d.Self)
 	d.secondRuns = newSecondRunLimits(d)
@@ -160,6 +162,7 @@
 	o.RouteWait = defaultRetryAfter
 	o.Listed = d.listed
 	o.Trials = &d.rollouts
+	o.Forwarder = d.forwards
 	o.Permits, o.OnAdvertised = &d.limits, d.words.queue
 	o.SecondRuns = d.secondRuns
 	o.Without = d.without
@@ -175,61 +178,6 @@
 	return o
 }
 
-type listeners struct{ callers, checks, peers net.Listener }
-
-func listen(s platform.Site, n seam.Network) (ls listeners, err error) {
-	for _, x := range []struct {
-		to   *net.Listener
-		addr string
-	}{{&ls.callers, s.CallerAddr}, {&ls.checks, s.ReadyAddr}, {&ls.peers, s.PeerAddr}} {
-		if *x.to, err = n.Listen(x.addr); err != nil {
-			return ls, errors.Wrap(err, "entry: listen")
-		}
-	}
-	return ls, nil
-}
-
-func (d *Daemon) serve(ls listeners) {
-	d.callers = &http.Server{Handler: &ingress{d}, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ConnState: d.inbound.State, ConnContext: d.inbound.Context}
-	d.callerListener = d.inbound.Listen(ls.callers)
-	d.checks = &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	mux := http.NewServeMux()
-	mux.Handle(conn.PeerPath, d.Hub)
-	mux.Handle("GET /metrics", d.meters)
-	d.peers = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	d.run(func() { d.serveOn(d.callers, d.callerListener) })
-	d.run(func() { d.serveOn(d.checks, ls.checks) })
-	d.run(func() { d.serveOn(d.peers, ls.peers) })
-}
-
-// ServeMetrics serves the metrics at a separate address. The daemon can serve requests without it, so
-// a failure is only logged.
-func (d *Daemon) ServeMetrics(address string) {
-	l, err := d.network.Listen(address)
-	if err != nil {
-		d.log.WithField("part", "process").Warnf("metrics not served at %s: %v", address, err)
-		return
-	}
-	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", d.meters)
-	s := &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	d.run(func() { d.serveOn(s, l) })
-	context.AfterFunc(d.ctx, func() { s.Close() })
-}
-
-func (d *Daemon) serveOn(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-		d.log.WithField("part", "process").Errorf("serve %s: %v", l.Addr(), err)
-	}
-}
-
-// serveReady answers the readiness checks of the balancer.
-func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !d.ready.Load() {
-		w.WriteHeader(http.StatusServiceUnavailable)
-	}
-}
-
 // updateReady updates the daemon's readiness.
 func (d *Daemon) updateReady(now time.Time) {
 	c := d.catalog.get()
@@ -283,6 +231,7 @@
 		d.checkSuspension()
 		d.Server.Works.Tick(now, len(d.Hub.Mesh.Members()))
 		d.runners.tick(now)
+		d.forwards.tick(now)
 		d.rollouts.tick(now)
 		d.words.flush(now)
 		d.observeWallClock(now)
@@ -344,6 +293,8 @@
 		return d.limits.answer(from, body)
 	case askUnits:
 		return d.teams.answer(from, body)
+	case askReach:
+		return d.forwards.answerReach(body)
 	case askTallies:
 		return d.answerWholeTallies(from, body)
 	}
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -70,24 +70,28 @@
 		return
 	}
 	err := s.d.Server.Relay(r.Context(), o.req)
-	x := o.req.Relay
 	if err != nil && err.Code.Ran() == code.NotRun && o.tenant != nil {
 		s.d.quotas.Return(limitOf(o.tenant), o.units)
 		s.d.tallies.Admit(o.tenant.Name, -int64(o.units))
 	}
+	s.d.finishAnswer(r, now, o.req, err, func(err *code.Error) { s.refuse(w, o, err) })
+}
+
+// finishAnswer ends the answer to a request that has been relayed with the given result, if it has not ended yet.
+func (d *Daemon) finishAnswer(r *http.Request, now time.Time, req *request.Request, err *code.Error, refuse func(*code.Error)) {
 	switch {
 	case err == nil:
-		s.d.meters.answered(clock.Since(now))
-	case x.Started():
-		s.d.meters.cut.Inc(1)
+		d.meters.answered(clock.Since(now))
+	case req.Relay.Started():
+		d.meters.cut.Inc(1)
 		panic(http.ErrAbortHandler) // a truncated answer must not look complete
 	case r.Context().Err() != nil:
-		s.d.meters.left.Inc(1)
+		d.meters.left.Inc(1)
 		panic(http.ErrAbortHandler)
-	case x.PassFailure():
-		s.d.meters.failed.Inc(1)
+	case req.Relay.PassFailure():
+		d.meters.failed.Inc(1)
 	default:
-		s.refuse(w, o, err)
+		refuse(err)
 	}
 }
 
--- a/entry/network_test.go
+++ b/entry/network_test.go
@@ -83,6 +83,9 @@
 		return nil, errIsolated
 	}
 	c, err := n.Network.Dial(ctx, network, address)
+	if err == nil && n.w.previous[address] {
+		c = previousConn{c}
+	}
 	return peerLink{c, isIsolated}, err
 }
 
--- a/entry/readers.go
+++ b/entry/readers.go
@@ -10,6 +10,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"streambend.example/conn"
+	"streambend.example/reach"
 )
 
 // Reader returns the daemon that reads the store for the others of a zone, or false if the zone has none. It
@@ -69,6 +70,7 @@
 	Witness []string    // result of Witnesses
 
 	members []conn.Member
+	peers   []reach.Candidate // the other daemons, of those that are alive
 }
 
 // NewRoster computes the roster of a daemon. It ranks all members, so callers keep it as long as the members
@@ -80,6 +82,11 @@
 		members: members,
 	}
 	r.Reader, r.Known = Reader(self.Zone, members)
+	for _, m := range members {
+		if m.Name != self.Name && m.State == conn.MemberAlive {
+			r.peers = append(r.peers, reach.Candidate{Name: m.Name, Zone: m.Zone, Power: m.Power})
+		}
+	}
 	return r
 }
 
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -68,5 +68,6 @@
 	d.Hub.Close()
 	d.wg.Wait()
 	d.Server.Client.Close()
+	d.forwards.client.Close()
 	d.externalClient.CloseIdleConnections()
 }
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -55,6 +55,7 @@
 	created       time.Time
 	isolated      atomic.Pointer[string] // daemon whose links to other daemons alone are cut; nil for none
 	endpointCuts  endpointCuts
+	previous      map[string]bool // addresses for links of daemons that act as a previous version
 	log           worldLog
 }
 
--- a/explain/describe.go
+++ b/explain/describe.go
@@ -70,6 +70,12 @@
 		return s + fmt.Sprintf("; by configuration %d, known to be the newest %s ago", x.Version, x.CatalogAge)
 	case "ended":
 		return fmt.Sprintf("not served: %s (%s; run: %s)", messageDetail(x.Text), code.Code(x.Code), x.Ran)
+	case "forwarded":
+		return fmt.Sprintf("sent through %s, as this daemon has no path to the endpoints; %s left", x.Daemon, x.TimeLeft)
+	case "forward ended":
+		return fmt.Sprintf("not served through %s (%s): %s; then: %s", x.Daemon, x.Ending, messageDetail(x.Text), x.Then)
+	case "taken over from another daemon":
+		return fmt.Sprintf("taken over from %s", x.Daemon)
 	case "ejected":
 		return fmt.Sprintf("endpoint %s is kept out for a while: %s", x.Endpoint, messageDetail(x.Text))
 	}
--- a/explain/line.go
+++ b/explain/line.go
@@ -25,6 +25,7 @@
 	Attempt                       int
 	TimeLeft, Age                 time.Duration // until the deadline, since the arrival
 
+	Daemon                 string // that the request is sent through, or comes from
 	Endpoint, Zone, Why    string
 	Load                   int
 	LoadAge                time.Duration // age of Load; negative if no load was ever reported
@@ -60,6 +61,8 @@
 	Attempt    int    `json:"attempt"`
 	Left       int64  `json:"left_ms"`
 	Age        int64  `json:"age_ms"`
+	Daemon     string `json:"daemon"`
+	From       string `json:"from"`
 	Endpoint   string `json:"endpoint"`
 	Zone       string `json:"zone"`
 	Why        string `json:"why"`
@@ -93,7 +96,7 @@
 func (w wireLine) decode(box string) (Line, error) {
 	l := Line{
 		Box: box, Text: w.Text, Request: w.Request, Service: w.Service, Route: w.Route, Team: w.Team, Attempt: w.Attempt,
-		TimeLeft: millis(w.Left), Age: millis(w.Age), Endpoint: w.Endpoint, Zone: w.Zone, Why: w.Why, Load: w.Load,
+		TimeLeft: millis(w.Left), Age: millis(w.Age), Daemon: cmp.Or(w.Daemon, w.From), Endpoint: w.Endpoint, Zone: w.Zone, Why: w.Why, Load: w.Load,
 		LoadAge: millis(w.LoadAge), QueueWait: millis(w.Wait), PrefillTime: millis(w.Read), UncachedTokens: w.Fresh, Ending: w.Ending, Then: w.Then,
 		MayHaveRun: w.MayHaveRun, FirstEvent: millis(w.First), FirstExpected: millis(w.Expected), Code: w.Code, Ran: w.Ran,
 		Status: w.Status, RetryAfter: millis(w.RetryAfter), CatalogAge: millis(w.CatalogAge), Version: w.Version, Dropped: w.Lost,
--- a/request/activeruns.go
+++ b/request/activeruns.go
@@ -30,6 +30,13 @@
 	}
 }
 
+// Active returns the number of running requests whose answers are forwarded.
+func (s *Server) Active() int {
+	s.active.mu.Lock()
+	defer s.active.mu.Unlock()
+	return len(s.active.cancels)
+}
+
 // CancelOverdue cancels the requests whose time expired while the box was suspended, and returns their number.
 func (s *Server) CancelOverdue(now time.Time) (ended int) {
 	s.active.mu.Lock()
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -69,13 +69,17 @@
 	return n
 }
 
-// route chooses an endpoint. While none is available it waits for one.
+// route chooses an endpoint. While none is available it waits for one. It returns no endpoint if the path to them is
+// lost.
 func (r *run) route(ctx context.Context) (Choice, *code.Error) {
 	until := r.req.Arrived.Add(r.opts.RouteWait)
 	if r.life.MayHaveRun { // otherwise it can be refused at once as not run
 		until = r.Now().Add(resumeRouteWait)
 	}
 	for {
+		if r.pathLost() {
+			return Choice{}, nil
+		}
 		now := r.Now()
 		current, listed := r.opts.listed(now) // read before the choice, so that it does not belong to a newer list
 		c, ok := Choice{}, false
--- a/request/counters.go
+++ b/request/counters.go
@@ -16,6 +16,8 @@
 	Retries  atomic.Int64
 	CutOff   atomic.Int64 // attempts whose endpoint closed the connection
 
+	Forwarded atomic.Int64 // attempts through other daemons
+
 	PlainByReport atomic.Int64 // plain calls routed by a fresh load report
 	PlainByMean   atomic.Int64 // plain calls routed by the mean load of endpoints
 	PlainByCounts atomic.Int64 // plain calls routed by counts of requests
--- a/request/relay.go
+++ b/request/relay.go
@@ -64,6 +64,8 @@
 	Pause          time.Duration                       // longest pause in a stream that counts as in time; 0 if not known
 	Parts          []Part                              // parts of the prompt, in order
 	WaitLimit      time.Duration                       // maximum wait until an engine starts its prefill; 0 for no limit
+	Forwarded      bool                                // another daemon has sent the request through this one
+	ResumeAfter    int64                               // id of the event after which the stream is resumed; 0 for a new one
 	OnStart        func(now time.Time)                 // called when an endpoint has started it; may be nil
 	OnFirstEvent   func(first, expected time.Duration) // called with an attempt's time to its first event; may be nil
 
@@ -132,8 +134,11 @@
 	mark := r.recordPrompt(c)
 	resp, err := r.Client.Forward(ctx, conn.ForwardRequest{
 		Address: c.Target.Address, Method: r.req.Method, Target: r.req.Path, Host: x.Host,
-		Header: x.Codec.Head(Attempt{Endpoint: c.Target.ID, Left: left, Resume: x.headWritten, After: x.lastEvent}),
-		Body:   r.req.Body, Fresh: r.req.Unrepeatable, Connected: func() { old.Stop() },
+		Header: x.Codec.Head(Attempt{Endpoint: c.Target.ID, Left: left, Resume: x.headWritten || x.ResumeAfter > 0, After: x.lastEvent}),
+		Body:   r.req.Body, Fresh: r.req.Unrepeatable, Connected: func(reused bool) {
+			old.Stop()
+			r.recordOpened(c.Target, reused)
+		},
 	})
 	if err != nil {
 		c.Target.Dropped(r.Now(), mark)
@@ -161,7 +166,7 @@
 		ending, err := r.forwardEvents(ctx, c, mark, resp, dog)
 		return ending, withCause(ctx, err)
 	default:
-		return r.forwardAnswer(ctx, resp, head, dog)
+		return r.forwardAnswer(ctx, resp, head, dog, false)
 	}
 }
 
@@ -301,7 +306,8 @@
 }
 
 // forwardEvents forwards a stream event by event. The head is written with the first
-// event, so that until then the request can be retried elsewhere.
+// event, so that until then the request can be retried elsewhere. The choice has no endpoint if another daemon
+// has sent the request there, which then keeps the records of the endpoint.
 func (r *run) forwardEvents(ctx context.Context, c Choice, mark Mark, resp *http.Response, dog watchdog) (Ending, error) {
 	x := r.req.Relay
 	first, count, readBefore := true, 0, time.Duration(0)
@@ -317,7 +323,7 @@
 				x.writeHead(resp.StatusCode, resp.Header)
 			}
 			r.succeeded = count > 0
-			if r.startedAttempts == 0 {
+			if r.startedAttempts == 0 && c.Target != nil {
 				r.work.Pool.cost.LearnEvents(x.CallerEstimate, count)
 				now := r.Now()
 				r.work.Pool.RecordSlotTime(x.OutTokens, now.Sub(r.started)-r.first, c.Target.PrefillDone(now)-readBefore)
@@ -336,13 +342,10 @@
 			first = false
 			now := r.Now()
 			r.first = now.Sub(r.started)
-			if x.OnFirstEvent != nil {
-				x.OnFirstEvent(r.first, r.expected)
-			}
-			x.recordStart(now)
 			r.life.apply(eventStream)
-			c.Target.Begun(now, mark)
-			readBefore = c.Target.PrefillDone(now)
+			if c.Target != nil {
+				readBefore = r.recordFirstEvent(now, c.Target, mark)
+			}
 		}
 		if ev.ID >= 0 && x.lastEvent > 0 && ev.ID <= x.lastEvent {
 			return EndedBroken, errEventOrder
@@ -366,3 +369,14 @@
 		}
 	}
 }
+
+// recordFirstEvent records that an endpoint has begun a stream, and returns its prefill time so far.
+func (r *run) recordFirstEvent(now time.Time, t *Target, mark Mark) time.Duration {
+	x := r.req.Relay
+	if x.OnFirstEvent != nil {
+		x.OnFirstEvent(r.first, r.expected)
+	}
+	x.recordStart(now)
+	t.Begun(now, mark)
+	return t.PrefillDone(now)
+}
--- a/request/relayanswer.go
+++ b/request/relayanswer.go
@@ -17,8 +17,9 @@
 const maxAnswerBytes = 4 << 20
 
 // forwardAnswer forwards an answer that is not a stream. As long as it can be held it is read completely
-// first, so that another endpoint may succeed if it is cut or a server error. A larger one is streamed.
-func (r *run) forwardAnswer(ctx context.Context, resp *http.Response, head AnswerHead, dog watchdog) (Ending, error) {
+// first, so that another endpoint may succeed if it is cut or a server error. A larger one is streamed. final is set
+// if another daemon has sent the request to its endpoints and passes on the last answer.
+func (r *run) forwardAnswer(ctx context.Context, resp *http.Response, head AnswerHead, dog watchdog, final bool) (Ending, error) {
 	x := r.req.Relay
 	before := r.req.Held.size()
 	body, whole, err := r.req.Held.answer(resp.Body)
@@ -29,7 +30,9 @@
 	if x.headWritten {
 		return EndedBroken, &conn.Failure{Sent: true, Status: resp.StatusCode} // in reply to a stream that should have been resumed
 	}
-	x.recordStart(r.started)
+	if !final {
+		x.recordStart(r.started)
+	}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		x.failed = &failedAnswer{resp.StatusCode, resp.Header, body}
 		r.signedFailure = head.Signed
@@ -37,7 +40,7 @@
 			x.failed = nil
 			r.req.Held.shrinkTo(before)
 		}
-		if r.req.Unrepeatable {
+		if r.req.Unrepeatable || final {
 			return EndedError, &conn.Failure{Sent: true, Status: resp.StatusCode}
 		}
 		return EndedBroken, &conn.Failure{Sent: true, Status: resp.StatusCode}
--- a/request/server.go
+++ b/request/server.go
@@ -128,6 +128,7 @@
 	defer cancel()
 	defer context.AfterFunc(s.baseCtx, cancel)()
 	a := NewAnswer(r.ID, 0, Snapshot{})
+	r.Relay.lastEvent = r.Relay.ResumeAfter
 	run := s.newRun(r, a)
 	defer s.active.add(run, cancel)()
 	run.serve(ctx)
@@ -207,9 +208,10 @@
 	trialDecided    bool          // it is decided whether the request goes to a version on trial
 	retryCharged    atomic.Bool   // the next retry has already been charged to the budget
 	attempts        int
-	startedAttempts int // attempts that an endpoint may have started
-	refusedAttempts int // attempts that an endpoint refused to start
-	unsentAttempts  int // attempts that reached none
+	startedAttempts int      // attempts that an endpoint may have started
+	refusedAttempts int      // attempts that an endpoint refused to start
+	unsentAttempts  int      // attempts that reached none
+	forwardedTo     []string // daemons that were asked to take the request over
 	prefer, avoid   *Target
 	restart         bool
 }
@@ -227,7 +229,9 @@
 	defer func() { r.work.Queue.Leave(r.Now(), &r.ticket) }()
 	r.life.apply(eventAccept)
 	r.Count.Accepted.Add(1)
-	r.work.Budget.First(r.Now())
+	if !r.pathLost() { // otherwise the daemon that the request is sent through counts it
+		r.work.Budget.First(r.Now())
+	}
 	if done := r.takeClaim(ctx); done {
 		return
 	}
@@ -236,7 +240,16 @@
 		return
 	}
 	for {
+		if r.pathLost() {
+			if r.forward(ctx) {
+				return
+			}
+			continue
+		}
 		choice, err := r.route(ctx)
+		if err == nil && choice.Target == nil {
+			continue // the path was lost meanwhile
+		}
 		if err == nil {
 			// The request may have been held back meanwhile, by another attempt or daemon.
 			err = r.checkHold(ctx)
@@ -256,8 +269,10 @@
 func (r *run) admit(ctx context.Context) *code.Error {
 	now := r.Now()
 	r.life.apply(eventQueue)
-	if err := r.checkHold(ctx); err != nil {
-		return err
+	if !r.pathLost() { // otherwise the daemon that the request is sent through checks it
+		if err := r.checkHold(ctx); err != nil {
+			return err
+		}
 	}
 	r.ticket = Ticket{
 		Team: r.req.Partner + "/" + r.req.Team, Weight: r.req.Weight, Interactive: r.req.Route.Interactive,
--- a/request/servicestate.go
+++ b/request/servicestate.go
@@ -47,6 +47,7 @@
 	Judge            JudgePolicy           // decides what follows an attempt; nil for Classify
 	Permits          Permits               // for endpoints with an advertised rate limit; nil for none
 	OnAdvertised     func(w EndpointState) // called when an endpoint's answers advertise new state; nil for none
+	Forwarder        Forwarder             // sends requests through other daemons; nil if each daemon sends its own
 	Holds            HoldTransport         // shares with other daemons which requests are held back
 
 	Now          func() time.Time // clock for ages and deadlines; nil for time.Now
@@ -144,6 +145,13 @@
 	return k
 }
 
+// ByKey returns the state of a service, or nil.
+func (w *ServiceStates) ByKey(key string) *ServiceState {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	return w.byID[key]
+}
+
 // All returns the state of every service.
 func (w *ServiceStates) All() []*ServiceState {
 	w.mu.RLock()
@@ -162,6 +170,35 @@
 	delete(w.byID, key)
 }
 
+// otherEndpoints returns at most the given number of endpoints other than t that do not leave: of its availability zone
+// if there are any, else of all. Ejected ones come last.
+func (w *ServiceStates) otherEndpoints(t *Target, most int) []*Target {
+	var same, other, ejectedSame, ejectedOther []*Target
+	for _, k := range w.All() {
+		all := k.Pool.snapshot().all
+		for i := range all {
+			o := all[(i+pick(t.hash, len(all)))%len(all)]
+			if _, leaving := o.Leaving(); leaving || o == t {
+				continue
+			}
+			to := &other
+			switch excluded := o.excluded.Load(); {
+			case o.Zone == t.Zone && excluded:
+				to = &ejectedSame
+			case o.Zone == t.Zone:
+				to = &same
+			case excluded:
+				to = &ejectedOther
+			}
+			*to = append(*to, o)
+		}
+	}
+	if same = append(same, ejectedSame...); len(same) == 0 {
+		same = append(other, ejectedOther...)
+	}
+	return same[:min(most, len(same))]
+}
+
 // Ejected returns the number of ejected endpoints of all services.
 func (w *ServiceStates) Ejected() (n int) {
 	for _, k := range w.All() {
--- a/request/settle.go
+++ b/request/settle.go
@@ -37,6 +37,7 @@
 		r.Count.CutOff.Add(1)
 		r.ends.connectionClosed(r.baseCtx, t, crash.Flight{Print: r.print, For: now.Sub(r.started)})
 	}
+	r.recordPath(now, t, e, failure)
 	if !errors.Is(failure, errStaleList) && !errors.Is(failure, errBarred) {
 		r.recordOutcome(now, t, e, failure)
 	}
@@ -54,6 +55,12 @@
 	if v.Action != Finish {
 		r.logAttempt(now, t, e, v, failure)
 	}
+	return r.follow(ctx, now, e, v, t, failure)
+}
+
+// follow acts on the verdict on an attempt, and reports whether the request has ended. The endpoint is nil for an
+// attempt through another daemon.
+func (r *run) follow(ctx context.Context, now time.Time, e Ending, v Verdict, t *Target, failure error) bool {
 	switch v.Action {
 	case Finish:
 		r.complete(now)
@@ -64,6 +71,10 @@
 		r.giveUp(ctx, v.Code, failure)
 	case Retry:
 		r.prepareRetry(ctx, e, v, t)
+		if r.dialedInVain() {
+			r.endNoPath(ctx)
+			return true
+		}
 		return false
 	}
 	return true
--- a/request/target.go
+++ b/request/target.go
@@ -72,6 +72,7 @@
 	holds        *slotTimeModel // of the service
 	places       SlotUsage      // slots used by other daemons
 	hasCompleted atomic.Bool    // it has completed a request of this daemon
+	goneAt       atomic.Int64   // when it was excluded as ended, in Unix nanoseconds; 0 if it is not
 	superseded   atomic.Bool    // the endpoint has restarted since
 	role         atomic.Int32   // rollout.Role of its version
 	resting      atomic.Bool    // canary instance without traffic, as others suffice for the evaluation
@@ -292,22 +293,6 @@
 	return true
 }
 
-// endedExclusion is how long an endpoint that is known to have ended is excluded: until its registry entry
-// expires, after three heartbeats of 1.2 s.
-const endedExclusion = 3600 * time.Millisecond
-
-// Gone excludes an endpoint that is known to have ended, and reports whether it was not excluded before.
-func (t *Target) Gone(now time.Time) (fresh bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	fresh = !t.excluded.Load()
-	t.softEjected.Store(false)
-	t.excludeUntil(now.Add(endedExclusion))
-	t.failures = 0
-	t.excluded.Store(true)
-	return fresh
-}
-
 // excludeUntil extends the exclusion to the given time and never shortens it; the caller holds the lock.
 func (t *Target) excludeUntil(until time.Time) {
 	if until.After(t.ejectedUntil) {
@@ -365,6 +350,7 @@
 	}
 	t.ramp.Store(math.Float32bits(rampStart))
 	t.excluded.Store(false)
+	t.goneAt.Store(0)
 	return true
 }
 
--- a/request/trial.go
+++ b/request/trial.go
@@ -199,6 +199,9 @@
 	case e == EndedComplete:
 		a.Failed = !r.succeeded
 	case errors.Is(failure, errSilent):
+		if r.pathLost() {
+			return // nothing arrives from any endpoint
+		}
 		a.Silent = true
 	case errors.As(failure, &f) && r.signedFailure:
 		a.Failed = true
