request, entry: an endpoint is reported as ended only by a daemon with a path to it

Found by looking for the same cause elsewhere. A daemon whose connections to endpoints are all reset at one moment probes them, finds them refusing, and reported them to all daemons as ended, with the requests that were under way: the others left living endpoints alone for 3.6 s, and three cuts would have had requests held back as crashing endpoints.

Cause: a refused connection was taken as proof although it shows the path as much as the endpoint. Who is told so nevertheless readmits the endpoint as soon as it sends data 250 ms later.

--- a/entry/endpointpathfaults_test.go
+++ b/entry/endpointpathfaults_test.go
@@ -64,6 +64,24 @@
 	}
 }
 
+// Guards against a daemon whose connections are all reset, and that reports the endpoints as ended: others would leave
+// them alone for seconds, and requests that were under way would be suspected of crashing them.
+func TestADaemonWithoutAPathReportsNoEndpointAsEnded(t *testing.T) {
+	inEndpoints(t, 9, func(w *world) {
+		cut := setOf(0, 4, 5)
+		for range 3 {
+			go w.demandByCut(200, time.Second, nil)
+			time.Sleep(500 * time.Millisecond) // requests are under way
+			w.cutEndpoints(cutReset, cut)
+			time.Sleep(4 * time.Second)
+			w.cutEndpoints(noCut, cut)
+			time.Sleep(2 * time.Second)
+		}
+		assert.Zero(t, w.counterSum("endpoints.ended"))
+		assert.Zero(t, w.counterSum("requests.held_back"))
+	})
+}
+
 // Guards against an endpoint that works on for a caller who has left, when another daemon has sent the request there.
 func TestADisconnectedCallerOfADaemonWithoutAPathIsCancelledAtTheEndpoint(t *testing.T) {
 	inEndpoints(t, 3, func(w *world) {
--- a/request/enddetector.go
+++ b/request/enddetector.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/sirupsen/logrus"
 
 	"streambend.example/conn"
@@ -31,6 +32,8 @@
 	now    func() time.Time
 	log    *logrus.Entry
 	report func(now time.Time, e crash.EndpointCrash)
+	works  *ServiceStates
+	paths  Forwarder // is told of failed and opened connections; nil for none
 
 	mu          sync.Mutex
 	interrupted map[*Target][]crash.Flight // interrupted requests of the endpoints to be probed
@@ -65,17 +68,50 @@
 	if !t.superseded.Load() {
 		err = x.client.Reach(ctx, t.Address)
 	}
-	now := x.now()
 	_, leaving := t.Leaving()
-	ended := (t.superseded.Load() || conn.Refused(err)) && !leaving
+	refused := conn.Refused(err) && !leaving
+	ended := t.superseded.Load() && !leaving || refused && x.hasPath(ctx, t)
+	now := x.now()
 	x.log.WithFields(logrus.Fields{
-		"endpoint": t.ID, "requests": len(flights), "ended": ended, "leaving": leaving, "error": err,
+		"endpoint": t.ID, "requests": len(flights), "ended": ended, "leaving": leaving, "error": err, "path": ended || !refused,
 	}).Info("endpoint closed connections")
 	if ended {
 		x.report(now, crash.EndpointCrash{Endpoint: t.Start(), Flights: flights})
 	}
 }
 
+// maxPathProbes is the number of endpoints probed to learn whether this daemon has a path.
+const maxPathProbes = 3
+
+// hasPath reports whether this daemon has a path to an endpoint that refuses connections: whether it reaches another
+// one, of the same availability zone if there is one, or no other daemon reaches it either. Without a path, connections
+// may be refused although the endpoint has not ended.
+func (x *endDetector) hasPath(ctx context.Context, t *Target) bool {
+	x.recordDial(t, errRefused)
+	others := x.works.otherEndpoints(t, maxPathProbes)
+	for _, o := range others {
+		err := x.client.Reach(ctx, o.Address)
+		x.recordDial(o, err)
+		if err == nil {
+			return true
+		}
+	}
+	return x.paths == nil || !x.paths.OthersReach(ctx, t)
+}
+
+var errRefused = errors.New("request: endpoint refuses connections")
+
+// recordDial reports the outcome of a probe.
+func (x *endDetector) recordDial(t *Target, err error) {
+	switch {
+	case x.paths == nil:
+	case err == nil:
+		x.paths.Opened(x.now(), t)
+	default:
+		x.paths.Failed(x.now(), t)
+	}
+}
+
 // endpointEnded ejects an endpoint that is known to have ended. Until it is missing from the list,
 // every daemon would try a connection to it, and a request fails whose attempts all go to such
 // endpoints. When half of 12 endpoints ended, 6 of 2,880 requests failed without this, 0 of 8,640 with it.
--- a/request/ended.go
+++ b/request/ended.go
@@ -27,6 +27,24 @@
 // Ended reports whether the endpoint is excluded as ended.
 func (t *Target) Ended() bool { return t.goneAt.Load() != 0 }
 
+// bufferedTime is how long after the end of an endpoint its data may still be read from buffers.
+const bufferedTime = 250 * time.Millisecond
+
+// recordData records that the endpoint has sent data. One that was excluded as ended is readmitted: the daemon that
+// reported its end may have lost the path to it.
+func (t *Target) recordData(now func() time.Time) {
+	at := t.goneAt.Load()
+	if at == 0 {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if n := now(); n.UnixNano()-at > bufferedTime.Nanoseconds() && t.goneAt.CompareAndSwap(at, 0) && t.class != Leaving && !t.superseded.Load() {
+		t.ejectedUntil = n
+		t.excluded.Store(false)
+	}
+}
+
 // EndRamp ends the ramp of an endpoint that was ejected while this daemon had lost the path to it.
 func (t *Target) EndRamp() { t.ramp.Store(math.Float32bits(1)) }
 
--- a/request/relay.go
+++ b/request/relay.go
@@ -347,6 +347,9 @@
 				readBefore = r.recordFirstEvent(now, c.Target, mark)
 			}
 		}
+		if c.Target != nil {
+			c.Target.recordData(r.opts.now)
+		}
 		if ev.ID >= 0 && x.lastEvent > 0 && ev.ID <= x.lastEvent {
 			return EndedBroken, errEventOrder
 		}
--- a/request/server.go
+++ b/request/server.go
@@ -67,7 +67,7 @@
 	s.kept.init(o)
 	s.Holds = newHolds(s.baseCtx, &s.opts, log.WithField("part", "crash"))
 	s.Holds.onEnd = s.endpointEnded
-	s.ends = endDetector{client: client, now: s.Now, log: s.Holds.log, report: s.Holds.reportEnd}
+	s.ends = endDetector{client: client, now: s.Now, log: s.Holds.log, report: s.Holds.reportEnd, works: s.Works, paths: o.Forwarder}
 	return s
 }
 
