entry, seam: forwarded HEAD requests, paths looked up only during a loss, keep-alive and user timeout

A HEAD request would have been sent through another daemon as POST, whose answer has a body where that of HEAD has none. The number of endpoints and the daemons that serve are looked up only while a path is lost, not with each connection.

TestAnEndpointThatIsSilentForASecondGoesOn is new and passes on the code as it was: a second of silence ejects nothing and loses no request.

--- a/entry/endpointpathfaults_test.go
+++ b/entry/endpointpathfaults_test.go
@@ -13,6 +13,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"streambend.example/internal/standin"
 )
 
 // Guards against callers who wait, or are told no time to return, while no daemon reaches the endpoints.
@@ -210,3 +212,27 @@
 		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) { checkRandomPathCuts(t, seed) })
 	}
 }
+
+// Guards against an endpoint that is silent for a second and goes on, and is then left alone, taken for ended, or loses
+// requests that may not be repeated to a second run.
+func TestAnEndpointThatIsSilentForASecondGoesOn(t *testing.T) {
+	inEndpoints(t, 3, func(w *world) {
+		silent := w.runners[:2] // an engine and a plain endpoint
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			for _, r := range silent {
+				r.SetFault(standin.RunnerFault{Slower: 50}) // nothing for a second
+			}
+			time.Sleep(time.Second)
+			for _, r := range silent {
+				r.SetFault(standin.RunnerFault{})
+			}
+		}()
+		_, rest := w.demandByCut(60, 4*time.Second, nil)
+		assert.Equal(t, rest.tries, rest.ok)
+		assert.Zero(t, w.counterSum("endpoints.ejected"))
+		assert.Zero(t, w.counterSum("endpoints.ended"))
+		assert.Zero(t, w.counterSum("requests.held_back"))
+		assert.Zero(t, w.counterSum("paths.lost"))
+	})
+}
--- a/entry/forwarding.go
+++ b/entry/forwarding.go
@@ -59,12 +59,11 @@
 
 // Opened implements request.Forwarder.
 func (f *forwarder) Opened(now time.Time, t *request.Target) {
-	lost := f.paths.Lost(t.Service)
-	listed := 0
-	if lost {
-		listed = len(f.endpoints(t.Service))
+	listed, others := 0, false // used while the path is lost
+	if f.paths.Lost(t.Service) {
+		listed, others = len(f.endpoints(t.Service)), f.peers.Proven(now, t.Service) != ""
 	}
-	if !f.paths.Opened(now, t.Service, t.ID, listed, f.peers.Proven(now, t.Service) != "") || f.d.ctx.Err() != nil {
+	if !f.paths.Opened(now, t.Service, t.ID, listed, others) || f.d.ctx.Err() != nil {
 		return
 	}
 	f.log(t.Service).Info("path to the endpoints regained")
@@ -238,8 +237,12 @@
 	}
 	text := base64.StdEncoding.EncodeToString(conn.Marshal(f.forwarded(to, r, a)))
 	f.peers.Begin(daemon)
+	method := http.MethodPost
+	if r.Method == http.MethodHead {
+		method = r.Method // its answer has no body
+	}
 	resp, err := f.client.Forward(ctx, conn.ForwardRequest{
-		Address: to.Address, Method: http.MethodPost, Target: forwardPath, Host: to.Address, Body: r.Body, Fresh: r.Unrepeatable,
+		Address: to.Address, Method: method, Target: forwardPath, Host: to.Address, Body: r.Body, Fresh: r.Unrepeatable,
 		Header: http.Header{headForward: {text}, headSigned: {f.d.Hub.Sign(text)}},
 	})
 	if err != nil {
--- a/entry/listen.go
+++ b/entry/listen.go
@@ -34,7 +34,7 @@
 	d.checks = &http.Server{Handler: http.HandlerFunc(d.serveReady), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	mux := http.NewServeMux()
 	mux.Handle(conn.PeerPath, d.Hub)
-	mux.Handle("POST "+forwardPath, d.forwards)
+	mux.Handle(forwardPath, d.forwards)
 	mux.Handle("GET /metrics", d.meters)
 	d.peers = &http.Server{Handler: mux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
 	d.run(func() { d.serveOn(d.callers, d.callerListener) })
--- a/seam/network.go
+++ b/seam/network.go
@@ -21,8 +21,11 @@
 
 // TCP is the Network of the operating system.
 type TCP struct {
-	DialTimeout    time.Duration // 0 for defaultDialTimeout
-	UnackedTimeout time.Duration // how long sent bytes may stay unacknowledged; 0 for the system's default
+	DialTimeout time.Duration // 0 for defaultDialTimeout
+	// UnackedTimeout is how long sent bytes may stay unacknowledged, and how long an idle connection may leave
+	// keep-alive probes unanswered; 0 for the system's defaults. With TCP_USER_TIMEOUT set, Linux ends both by it,
+	// whatever the number of probes.
+	UnackedTimeout time.Duration
 }
 
 // defaultDialTimeout is the time limit to open a connection, which takes a few milliseconds within a
