reach, entry: forget daemons that are not members any more

What is known of daemons to send requests through is dropped once they are no members, so that it does not grow with replaced daemons. Found by reading.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -261,6 +261,7 @@
 			d.tallies.ForgetNeighbour(name)
 		}
 		d.tallies.Expire(now, d.Hub.Mesh.Members())
+		d.forwards.forgetLeft()
 	})
 }
 
--- a/entry/forwarding.go
+++ b/entry/forwarding.go
@@ -179,6 +179,14 @@
 	}
 }
 
+// forgetLeft drops what is known of daemons that are not members any more.
+func (f *forwarder) forgetLeft() {
+	f.peers.Retain(func(name string) bool {
+		_, ok := f.d.Hub.Mesh.Member(name)
+		return ok
+	})
+}
+
 // forwardedRequest is a request as one daemon sends it through another. The body follows as the body of the HTTP request.
 type forwardedRequest struct {
 	To      string `codec:"to"` // process to which it is sent
--- a/entry/forwardserver.go
+++ b/entry/forwardserver.go
@@ -16,6 +16,7 @@
 	"streambend.example/code"
 	"streambend.example/conn"
 	"streambend.example/request"
+	"streambend.example/version"
 )
 
 // maxForwardMessage bounds the text of another daemon's own result, in bytes.
@@ -138,7 +139,8 @@
 	if err.RetryAfter > 0 {
 		h.Set(headForwardAfter, strconv.FormatInt(int64(err.RetryAfter), 10))
 	}
-	if other := f.peers.Proven(clock.Now(), "/"+m.Service); other != "" {
+	service := version.Service{Name: m.Service}
+	if other := f.peers.Proven(clock.Now(), service.Key()); other != "" {
 		h.Set(headForwardTo, other)
 	}
 	h.Set("Content-Type", "text/plain; charset=utf-8")
