pace, platform, request, entry: all daemons together keep within the room of brittle endpoints

Endpoints of a service may say Server-Brittle = N in their answers: one that has to reject more than N requests in a second for want of room falls over. Nothing heeded it.

A Limit now has a room as well as a rate, announced and passed on the same way. The daemon that grants an endpoint's requests counts the places taken there (pace.Occupancy): slots and one more, so that hardly anything waits and the queue may shrink. A place is released as its request ends, at the latest at the request's deadline. A new owner's places become free over 2 s, since another one may have granted them. While no owner answers, a daemon uses an even share.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -292,6 +292,8 @@
 		return d.answerTallies(body)
 	case askPermit:
 		return d.limits.answer(from, body)
+	case askRoom:
+		return d.limits.answerRoom(from, body)
 	case askUnits:
 		return d.teams.answer(from, body)
 	case askReach:
--- a/entry/permits.go
+++ b/entry/permits.go
@@ -33,6 +33,9 @@
 	owned  pace.Limiter // of endpoints that this daemon grants for
 	shares pace.Limiter // of its even shares
 
+	ownedRoom pace.Occupancy // of endpoints that this daemon grants places at
+	shareRoom pace.Occupancy // of its even shares
+
 	peers unresponsivePeers
 
 	granted, refused, shared atomic.Int64 // queries; shared counts those decided by an even share
@@ -46,14 +49,24 @@
 func (k *permitGranter) owner(endpoint uint64) string { return pace.Owner(endpoint, k.d.granters()) }
 
 // Take implements request.Permits.
-func (k *permitGranter) Take(ctx context.Context, t *request.Target) pace.Grant {
-	g := k.take(ctx, t)
+func (k *permitGranter) Take(ctx context.Context, t *request.Target, until time.Time) (g pace.Grant, release func()) {
+	l := t.Limit()
+	g.OK = true
+	if l.Room > 0 {
+		g, release = k.enter(ctx, t, l, until)
+	}
+	if g.OK && l.PerSecond > 0 {
+		if g = k.take(ctx, t); !g.OK && release != nil {
+			release()
+			release = nil
+		}
+	}
 	if g.OK {
 		k.granted.Add(1)
 	} else {
 		k.refused.Add(1)
 	}
-	return g
+	return g, release
 }
 
 func (k *permitGranter) take(ctx context.Context, t *request.Target) pace.Grant {
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -33,6 +33,9 @@
 	Leaving    string // LeavingHeader of all responses; empty for none
 	Rest       string // with NotRun, the Retry-After header in seconds; empty for none
 	CrashOn    string // crashes on a request whose body contains this string; empty for never
+	Slots      int    // requests that it runs at once, with Queue more waiting; it rejects any more. 0 for no bound
+	Queue      int
+	Brittle    string // BrittleHeader of all responses; empty for none
 }
 
 // Ran is a request that a Runner has executed.
@@ -64,6 +67,10 @@
 	fault    RunnerFault
 	ran      []Ran
 	arrivals []Arrival
+	running  int
+	waiting  int
+	rejected []time.Time   // requests rejected for want of room
+	freed    chan struct{} // closed and replaced as a request ends
 }
 
 // NewRunner starts a server for a runner at an address.
@@ -142,6 +149,7 @@
 const (
 	LimitHeader      = "Server-Limit"
 	LeavingHeader    = "Server-Leaving"
+	BrittleHeader    = "Server-Brittle"
 	retryAfterHeader = "Retry-After"
 )
 
@@ -163,6 +171,19 @@
 	h["Date"] = nil // so that a test sees only the headers that the code under test adds
 	h.Set("Streambend-Request-Id", id)
 	h.Set("Streambend-Server-Load", "1,0,8")
+	if f.Brittle != "" {
+		h.Set(BrittleHeader, f.Brittle)
+	}
+	if f.Slots > 0 {
+		if !r.enter(f) {
+			h.Set("Streambend-Server-Load", r.load(f))
+			h.Set("Streambend-Not-Executed", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		defer r.leave()
+		h.Set("Streambend-Server-Load", r.load(f))
+	}
 	if f.Limit != "" {
 		h.Set(LimitHeader, f.Limit)
 	}
@@ -211,6 +232,52 @@
 	r.respond(w, f, "answer to "+id)
 }
 
+// enter waits for a slot, or reports that there is no room.
+func (r *Runner) enter(f RunnerFault) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.running >= f.Slots && r.waiting >= f.Queue {
+		r.rejected = append(r.rejected, time.Now())
+		return false
+	}
+	r.waiting++
+	for r.running >= f.Slots {
+		if r.freed == nil {
+			r.freed = make(chan struct{})
+		}
+		freed := r.freed
+		r.mu.Unlock()
+		<-freed
+		r.mu.Lock()
+	}
+	r.waiting--
+	r.running++
+	return true
+}
+
+func (r *Runner) leave() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.running--
+	if r.freed != nil {
+		close(r.freed)
+		r.freed = nil
+	}
+}
+
+func (r *Runner) load(f RunnerFault) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return fmt.Sprintf("%d,%d,%d", r.running, r.waiting, f.Slots)
+}
+
+// Rejected returns when requests were rejected for want of room.
+func (r *Runner) Rejected() []time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]time.Time(nil), r.rejected...)
+}
+
 // slowed returns a duration scaled by Slower.
 func (f RunnerFault) slowed(usual time.Duration) time.Duration {
 	return time.Duration(max(f.Slower, 1)) * usual
--- a/pace/doc.go
+++ b/pace/doc.go
@@ -11,6 +11,9 @@
 //		// don't send; ask again after g.Wait
 //	}
 //
+// An endpoint that must not reject any request limits its concurrent requests instead: the owner counts them in an
+// Occupancy, with Enter and Leave.
+//
 // A daemon that cannot reach an owner uses an even share of the limit, with a Limiter of its own.
 // Daemons exchange the limits that endpoints announce as a Limit. The package does no input or
 // output; callers pass the current time.
--- a/pace/feedback.go
+++ b/pace/feedback.go
@@ -13,6 +13,7 @@
 	Limited   bool           // the answer announces a rate limit
 	Malformed bool           // the announced limit is not a number
 	Leaving   bool           // it is shutting down
+	Brittle   bool           // it falls over if it has to reject requests for want of room
 	Backoff   time.Duration  // how long the daemon must not send it requests; 0 for not at all
 	Bad       []InvalidValue // announced values that are invalid
 }
@@ -25,6 +26,7 @@
 	InvalidLimit   = "limit"
 	InvalidLeaving = "word of leaving"
 	InvalidBackoff = "time of rest"
+	InvalidBrittle = "bound on rejections"
 )
 
 // maxBackoff is the longest accepted time without requests: a single wrong figure could otherwise
--- a/pace/limiter_test.go
+++ b/pace/limiter_test.go
@@ -134,17 +134,17 @@
 
 func TestLastAnnouncedLimitWins(t *testing.T) {
 	var a, b pace.Limit
-	a, tell := a.Update(2)
+	a, tell := a.Update(2, 0)
 	assert.True(t, tell)
-	_, tell = a.Update(2.1)
+	_, tell = a.Update(2.1, 0)
 	assert.False(t, tell, "nearly the same")
 	assert.True(t, a.Supersedes(b))
 	b = a
-	b, tell = b.Update(0)
+	b, tell = b.Update(0, 0)
 	assert.True(t, tell)
 	assert.False(t, b.Named())
 	assert.True(t, b.Supersedes(a), "the limit was withdrawn")
-	c, _ := a.Update(5)
+	c, _ := a.Update(5, 0)
 	assert.True(t, c.Supersedes(b), "of two concurrent changes the one with a limit")
 	assert.False(t, b.Supersedes(c))
 }
--- a/request/advertised.go
+++ b/request/advertised.go
@@ -63,12 +63,20 @@
 	return t.advertised.limit
 }
 
-// RecordLimit records the rate limit that an answer of the endpoint advertises, 0 for none. It reports
-// whether to announce it to other daemons.
-func (t *Target) RecordLimit(perSecond float64) (l pace.Limit, tell bool) {
+// queuedBeside is the number of requests that may wait at an endpoint that must not reject any, so that its slots do
+// not idle while a permit is on its way.
+const queuedBeside = 1
+
+// RecordLimit records the rate limit that an answer of the endpoint advertises, 0 for none, and whether it is brittle.
+// It reports whether to announce it to other daemons.
+func (t *Target) RecordLimit(perSecond float64, brittle bool) (l pace.Limit, tell bool) {
+	room := 0
+	if brittle {
+		room = t.slots() + queuedBeside
+	}
 	t.advertised.mu.Lock()
 	defer t.advertised.mu.Unlock()
-	l, tell = t.advertised.limit.Update(perSecond)
+	l, tell = t.advertised.limit.Update(perSecond, room)
 	t.advertised.set(l)
 	return l, tell
 }
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -168,6 +168,7 @@
 
 // attempt sends the request to one endpoint and receives its answer.
 func (r *run) attempt(ctx context.Context, c Choice) (Ending, error) {
+	defer c.free()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	f := &Flight{answer: r.answer, pinned: r.req.Unrepeatable, cancel: cancel}
--- a/request/permit.go
+++ b/request/permit.go
@@ -14,8 +14,9 @@
 
 // Permits grants requests to endpoints with an advertised rate limit, over all daemons.
 type Permits interface {
-	// Take requests a permit for one request to an endpoint.
-	Take(ctx context.Context, t *Target) pace.Grant
+	// Take requests a permit for one request to an endpoint, which ends by until. The request's place there is to be
+	// released once it has ended; release is nil if there is nothing to release.
+	Take(ctx context.Context, t *Target, until time.Time) (g pace.Grant, release func())
 }
 
 // permitLife is how long a permit is valid: a request that a suspended box sends later needs a new one.
@@ -32,13 +33,14 @@
 		return false // another request is taking a permit since the choice was made
 	}
 	defer s.requestingPermit.Store(false)
-	g := r.opts.Permits.Take(ctx, c.Target)
+	g, release := r.opts.Permits.Take(ctx, c.Target, r.giveUpAt())
+	c.release = release
 	now := r.Now()
 	if !g.OK {
 		s.refuse(now, g)
 		if l := r.logEntry(now, logrus.InfoLevel); l != nil {
-			l.WithFields(logrus.Fields{"endpoint": c.Target.ID, "per_second": c.Target.Limit().PerSecond, "wait_ms": g.Wait.Milliseconds()}).
-				Info("endpoint skipped: at its rate limit")
+			l.WithFields(logrus.Fields{"endpoint": c.Target.ID, "per_second": c.Target.Limit().PerSecond, "room": c.Target.Limit().Room, "wait_ms": g.Wait.Milliseconds()}).
+				Info("endpoint skipped: at its limit")
 		}
 		return false
 	}
@@ -72,8 +74,8 @@
 	// An answer without an ID may come from a proxy in front of the endpoint, so that a missing limit means
 	// nothing.
 	if advertised.Limited || !advertised.Malformed && h.ID != "" {
-		if l, announce := t.RecordLimit(advertised.PerSecond); announce {
-			fields["per_second"], fields["turn"] = l.PerSecond, l.Revision
+		if l, announce := t.RecordLimit(advertised.PerSecond, advertised.Brittle); announce {
+			fields["per_second"], fields["room"], fields["turn"] = l.PerSecond, l.Room, l.Revision
 		}
 	}
 	if advertised.Leaving && t.RecordLeaving(now, r.opts.Drain) {
@@ -101,3 +103,10 @@
 		}
 	}
 }
+
+// free releases the request's place at its endpoint.
+func (c Choice) free() {
+	if c.release != nil {
+		c.release()
+	}
+}
--- a/request/route.go
+++ b/request/route.go
@@ -54,6 +54,7 @@
 	First    time.Duration // expected time to the first event; 0 if not known
 	Expected time.Duration // expected time of a plain call; 0 if not known
 	SendBy   time.Time     // latest time to send the request; zero for no limit
+	release  func()        // releases its place at an endpoint whose room is limited; nil for none
 	Others   [candidateCount]Candidate
 }
 
