entry: an endpoint's headers are not taken for those of the daemon that forwards its answer

Found by reading. A daemon that takes a request over marks its own results with headers beside an endpoint's; an endpoint that sends the same header had its answer taken for a refusal, "not run", although it had run. They are removed from an endpoint's answer. TestAnEndpointsHeadersAreNotThoseOfADaemon failed without that.

--- a/entry/endpointpathfaults_test.go
+++ b/entry/endpointpathfaults_test.go
@@ -172,6 +172,21 @@
 	})
 }
 
+// Guards against an endpoint's answer that is taken for the result of the daemon that has sent the request there.
+func TestAnEndpointsHeadersAreNotThoseOfADaemon(t *testing.T) {
+	inEndpoints(t, 3, func(w *world) {
+		w.cutEndpoints(cutRefuse, setOf(0))
+		w.demandByCut(30, cutContact, nil)
+		for _, r := range w.runners {
+			r.SetFault(standin.RunnerFault{Header: [2]string{"Streambend-Forward-Code", "1113"}})
+		}
+		for i := range 8 {
+			a := w.askMixed(0, 1e9+i)
+			assert.Equal(t, http.StatusOK, a.status, a.body)
+		}
+	})
+}
+
 // checkRandomPathCuts runs a series of cuts that overlap, while daemons restart, drawn from a seed.
 func checkRandomPathCuts(t *testing.T, seed uint64) {
 	r := rand.New(rand.NewPCG(seed, 7))
--- a/entry/forwardserver.go
+++ b/entry/forwardserver.go
@@ -40,18 +40,35 @@
 	return string(b)
 }
 
+// forwardCodec is a codec whose answers go to another daemon. An endpoint's own headers must not look like this daemon's.
+type forwardCodec struct {
+	codec
+	by, load string
+}
+
+// Copy implements request.Codec.
+func (c *forwardCodec) Copy(to, from http.Header) {
+	c.codec.Copy(to, from)
+	for _, name := range []string{headForwardCode, headForwardAfter, headForwardTo} {
+		to.Del(name)
+	}
+	to.Set(headForwardedBy, c.by)
+	to.Set(headForwardLoad, c.load)
+}
+
 // ServeHTTP implements http.Handler: it takes a request over from another daemon.
 func (f *forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	clock.Refresh()
 	now, d := clock.Now(), f.d
 	held := d.buffers.Hold()
 	defer held.Release()
+	load := strconv.Itoa(d.Server.Active())
 	w.Header().Set(headForwardedBy, d.Self.Name)
-	w.Header().Set(headForwardLoad, strconv.Itoa(d.Server.Active()))
+	w.Header().Set(headForwardLoad, load)
 	m, body, err := f.read(r, held)
 	var req *request.Request
 	if err == nil {
-		req, err = f.request(now, m, body, held)
+		req, err = f.request(now, m, body, held, load)
 	}
 	if err != nil {
 		f.refuse(w, m, err)
@@ -102,7 +119,7 @@
 
 // request returns the request in the form that request.Server takes. Key, route and team limit have been checked by the
 // daemon that it comes from.
-func (f *forwarder) request(now time.Time, m forwardedRequest, body []byte, held *request.Held) (*request.Request, *code.Error) {
+func (f *forwarder) request(now time.Time, m forwardedRequest, body []byte, held *request.Held, load string) (*request.Request, *code.Error) {
 	c := f.d.catalog.get()
 	if c == nil {
 		return nil, code.New(code.Isolated, "this daemon has no configuration yet")
@@ -122,7 +139,7 @@
 	req.Route.Name, req.Route.Interactive, req.Route.Unrepeatable = m.Route, true, m.Unrepeatable
 	req.Route.Priority, req.Route.Target.Duration = m.Priority, m.Target
 	req.Relay = &request.Relay{
-		Codec: &codec{in: m.Header, team: m.Team, urgency: m.Urgency, unknown: &f.d.unknown},
+		Codec: &forwardCodec{codec{in: m.Header, team: m.Team, urgency: m.Urgency, unknown: &f.d.unknown}, f.d.Self.Name, load},
 		Host:  m.Host, Streaming: m.Streaming, Attempts: m.Attempts, Prefix: m.Prefix, PromptTokens: m.PromptTokens,
 		OutTokens: m.OutTokens, CallerEstimate: m.Estimate, Pause: m.Pause, Parts: m.Parts, WaitLimit: m.WaitLimit,
 		Forwarded: true, ResumeAfter: m.ResumeAfter,
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -35,7 +35,8 @@
 	CrashOn    string // crashes on a request whose body contains this string; empty for never
 	Slots      int    // requests that it runs at once, with Queue more waiting; it rejects any more. 0 for no bound
 	Queue      int
-	Brittle    string // BrittleHeader of all responses; empty for none
+	Header     [2]string // name and value of a further header of all responses; empty for none
+	Brittle    string    // BrittleHeader of all responses; empty for none
 }
 
 // Ran is a request that a Runner has executed.
@@ -171,6 +172,9 @@
 	h["Date"] = nil // so that a test sees only the headers that the code under test adds
 	h.Set("Streambend-Request-Id", id)
 	h.Set("Streambend-Server-Load", "1,0,8")
+	if f.Header[0] != "" {
+		h.Set(f.Header[0], f.Header[1])
+	}
 	if f.Brittle != "" {
 		h.Set(BrittleHeader, f.Brittle)
 	}
