request, entry: log and count what the retry budget allows

What callers saw: nothing. Whether a daemon exceeded its part of the bound on repeats, or daemons that each kept theirs exceeded it together, could not be told from a daemon's lines: `attempt ended` said "again" for retries that are charged and for those that are not, and an attempt that was not repeated for want of budget looked like one that had used up its route's attempts. The line has `budget` and `charged` now, and attempts.denied counts the former.

--- a/entry/meters.go
+++ b/entry/meters.go
@@ -111,7 +111,7 @@
 	c := &d.Server.Count
 	for name, f := range map[string]func() int64{
 		"requests.accepted": c.Accepted.Load, "requests.complete": c.Complete.Load, "requests.late": c.Late.Load,
-		"requests.refused": c.Refused.Load, "requests.unknown": c.Unknown.Load, "attempts.retries": c.Retries.Load,
+		"requests.refused": c.Refused.Load, "requests.unknown": c.Unknown.Load, "attempts.retries": c.Retries.Load, "attempts.denied": c.Denied.Load,
 		"attempts.cut_off": c.CutOff.Load,
 		"dials.opened":     d.Server.Client.Dials.Opened.Load, "dials.failed": d.Server.Client.Dials.Failed.Load,
 		"paths.lost": func() int64 { return int64(d.forwards.paths.LostServices()) }, "attempts.forwarded": c.Forwarded.Load,
--- a/request/counters.go
+++ b/request/counters.go
@@ -13,7 +13,8 @@
 	Unknown  atomic.Int64
 	Moves    atomic.Int64
 	Exports  atomic.Int64
-	Retries  atomic.Int64
+	Retries  atomic.Int64 // attempts charged to the retry budget
+	Denied   atomic.Int64 // attempts after which the retry budget allowed no retry
 	CutOff   atomic.Int64 // attempts whose endpoint closed the connection
 
 	Forwarded atomic.Int64 // attempts through other daemons
--- a/request/forward.go
+++ b/request/forward.go
@@ -177,6 +177,7 @@
 		Strict: r.opts.Retry != nil, AttemptsExhausted: e == EndedUnsent || r.attemptsExhausted(e),
 	}
 	v := r.opts.judge(now, &a)
+	r.countDenied(a, v)
 	if v.Action != Finish {
 		r.logForwardEnd(now, name, e, v, failure)
 	}
--- a/request/requestlog.go
+++ b/request/requestlog.go
@@ -65,12 +65,13 @@
 	l.WithFields(f).Info("routed")
 }
 
-// logAttempt logs an attempt that did not complete the request.
-func (r *run) logAttempt(now time.Time, t *Target, e Ending, v Verdict, failure error) {
+// logAttempt logs an attempt that did not complete the request, and whether the retry budget allowed a retry.
+func (r *run) logAttempt(now time.Time, t *Target, e Ending, v Verdict, budget bool, failure error) {
 	if l := r.logEntry(now, logrus.InfoLevel); l != nil {
 		f := logrus.Fields{
 			"endpoint": t.ID, "ending": e.String(), "then": v.Action.String(), "may_have_run": r.life.MayHaveRun, "tokens": r.answer.tokenCount(),
 			"endpoint_closed": conn.EndpointClosed(failure), "ends_before": r.Holds.Ledger.Suspected(r.print),
+			"budget": budget, "charged": v.Action == Retry && v.Spend,
 		}
 		if r.failedBySelf(e, failure) {
 			f["second_run"] = v.Action == Retry
--- a/request/settle.go
+++ b/request/settle.go
@@ -49,15 +49,23 @@
 	}
 	v := r.judgeSecondRun(e, failure, r.opts.judge(now, &a))
 	r.life.MayHaveRun = a.MayHaveRun
+	r.countDenied(a, v)
 	if v.Action == Retry && r.answer.hasAllTokens() {
 		v = Verdict{Action: Finish}
 	}
 	if v.Action != Finish {
-		r.logAttempt(now, t, e, v, failure)
+		r.logAttempt(now, t, e, v, a.Budget, failure)
 	}
 	return r.follow(ctx, now, e, v, t, failure)
 }
 
+// countDenied counts an attempt that may not be repeated for want of retry budget alone.
+func (r *run) countDenied(a AttemptOutcome, v Verdict) {
+	if !a.Budget && !a.AttemptsExhausted && v.Action != Finish && v.Action != Retry {
+		r.Count.Denied.Add(1)
+	}
+}
+
 // follow acts on the verdict on an attempt, and reports whether the request has ended. The endpoint is nil for an
 // attempt through another daemon.
 func (r *run) follow(ctx context.Context, now time.Time, e Ending, v Verdict, t *Target, failure error) bool {
