budget, request, entry: daemons keep the bound on repeats together, over their ends and as callers move

Cause: what had been spent of a bound over all daemons was known to one start of one daemon. A daemon that started again owed nothing. Callers that moved earned repeats at the daemon that they left and at the one that they came to, within one window. And a step of the time of day cleared the window, as its steps followed the wall clock.

Evidence: TestRepeatsStayWithinTheBoundWhateverEnds and TestRepeatsStayWithinTheBoundAsCallersMove failed (361 to 489 repeats of 336; 386 of 336). In the play without ends 321 arrived and as many were charged, so nothing arrives uncharged there.

Why this works: package budget makes a repeat only if this daemon's own window and the sum of all daemons' reports both allow it. Others keep a daemon's reports beyond its end, and a daemon that starts repeats nothing until one has answered that knows the window, or until a window has passed.

A daemon that starts among others that live repeats within a second (TestADaemonThatHasStartedAgainRepeatsAtOnce); all killed at once, nobody does for 10 s. TestABurstOfRepeatsStaysWithinTheBound is TestWindowBudgetBoundsRetryBurst, moved with what it tests.

--- a/request/budget_test.go
+++ b/budget/ledger_test.go
@@ -1,6 +1,6 @@
 // SPDX-License-Identifier: MIT
 
-package request_test
+package budget_test
 
 import (
 	"testing"
@@ -8,14 +8,16 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"streambend.example/request"
+	"streambend.example/budget"
 )
 
-// Guards against more retries in a window than the bound allows (346 instead of 340 in 10 s). It happened
+// Guards against more repeats in a window than the bound allows (346 instead of 340 in 10 s). It happened
 // when all engines rejected a steady load of 142 requests per second and all retries fell into two seconds:
 // the requests that allow retries were counted over 11 one-second buckets (1,562 requests) instead of the
 // window's 10 (1,428).
-func TestWindowBudgetBoundsRetryBurst(t *testing.T) {
+var start = time.Unix(1_800_000_000, 0)
+
+func TestABurstOfRepeatsStaysWithinTheBound(t *testing.T) {
 	const (
 		daemons   = 7
 		perSecond = 20
@@ -27,7 +29,8 @@
 		burst := start.Add(2*window + offset)
 		repeats := 0
 		for range daemons {
-			b := request.NewWindowBudget(request.RetryBound{Ratio: ratio, Window: window, Slack: slack, Daemons: func() int { return daemons }})
+			l := budget.NewLedger(budget.Bound{Ratio: ratio, Window: window, Slack: slack}, budget.Source{}, start, func() int { return daemons }, func() {})
+			b := l.Budget("service")
 			for now := start; now.Before(burst); now = now.Add(time.Second / perSecond) {
 				b.First(now)
 			}
--- a/conn/member.go
+++ b/conn/member.go
@@ -99,6 +99,7 @@
 	Crashes []byte          `codec:"h,omitempty"` // requests during which endpoints crashed, encoded likewise
 	Orders  []byte          `codec:"o,omitempty"` // progress of rollout orders, encoded likewise
 	Words   []byte          `codec:"u,omitempty"` // reports of endpoints about themselves, encoded likewise
+	Repeats []byte          `codec:"y,omitempty"` // what the sender has counted of its repeats, encoded likewise
 }
 
 // Tally holds the counters of one daemon since its start, and its running requests.
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -64,6 +64,7 @@
 	quotas         *quota.Buckets
 	flow           quota.FlowEstimator
 	secondRuns     *secondRunLimits
+	repeats        *repeatBudget
 	sends          sendQueue
 	duties         *duties
 	rollouts       rolloutController
@@ -139,6 +140,7 @@
 	d.limits, d.teams, d.words = newPermitGranter(d), newTeamLimiter(d), newReportExchange(d)
 	d.tallies = NewTallies(d.Self)
 	d.secondRuns = newSecondRunLimits(d)
+	d.repeats = newRepeatBudget(d)
 	d.sends.wake = make(chan struct{}, 1)
 	d.Server = request.NewServer(d.options(), conn.NewClient(n, defaultMaxBody), nil, nil, log)
 	timing := conn.DefaultTiming()
@@ -174,9 +176,8 @@
 	if d.without.On(mechanism.SentWords) {
 		o.OnSent = d.sends.add
 	}
-	b := d.Site().Bounds
-	o.Drain = b.Drain
-	o.Retry = &request.RetryBound{Ratio: b.RetryRatio, Window: b.RetryWindow, Slack: b.RetrySlack, Daemons: func() int { return d.fleet().Sharers() }}
+	o.Drain = d.Site().Bounds.Drain
+	o.Retries = func(key string) request.Retries { return d.repeats.ledger.Budget(key) }
 	return o
 }
 
@@ -258,6 +259,8 @@
 		}
 	})
 	d.run(func() { d.broadcastSends(d.ctx) })
+	d.run(func() { d.repeats.report(d.ctx) })
+	d.run(func() { d.repeats.recover(d.ctx) })
 	d.every(resendPeriod, func(now time.Time) {
 		for _, name := range d.Hub.Mesh.NeighbourNames() {
 			d.tallies.ForgetNeighbour(name)
@@ -276,6 +279,9 @@
 	d.Server.Holds.Receive(now, in.From, in.Payload)
 	d.rollouts.receive(now, in.From, in.Payload.Orders)
 	d.words.receive(now, in.From, in.Payload.Words)
+	if err := d.repeats.receive(now, in.Payload.Repeats); err != nil {
+		d.log.WithField("part", "repeats").Warnf("invalid report on repeats from %s: %v", in.From, err)
+	}
 	if len(in.Payload.Sends) > 0 {
 		d.receiveSends(now, in)
 	}
@@ -302,6 +308,10 @@
 		return d.forwards.answerReach(body)
 	case askRecord:
 		return d.streams.answer(body)
+	case askRepeats:
+		return d.repeats.answer()
+	case tellRepeats:
+		return nil, d.repeats.receive(clock.Now(), body)
 	case tellRecords:
 		return nil, d.streams.receive(body)
 	case askTallies:
--- a/entry/members.go
+++ b/entry/members.go
@@ -97,6 +97,7 @@
 	found, ok := d.readMembers(ctx, d.Self.Zone)
 	if ok {
 		d.contact.zoneRead.Store(true)
+		d.repeats.noteRows(found)
 	}
 	return slices.ContainsFunc(found, func(m conn.Member) bool {
 		return m.Name == d.Self.Name && m.Address == d.Self.Address && m.Zone == d.Self.Zone && m.Power == d.Self.Power
--- a/entry/repeatbound_test.go
+++ b/entry/repeatbound_test.go
@@ -182,6 +182,12 @@
 			time.Sleep(1500 * time.Millisecond)
 			w.killEach(0, everyone...)
 		}},
+		"a third of 40, twice": {40, 200, refused, nil, func(w *world) {
+			time.Sleep(1500 * time.Millisecond)
+			w.killEach(0, 1, 4, 7, 10, 13, 16, 19, 22, 25, 28, 31, 34, 37)
+			time.Sleep(1500 * time.Millisecond)
+			w.killEach(0, 1, 4, 7, 10, 13, 16, 19, 22, 25, 28, 31, 34, 37)
+		}},
 		"two daemons, one each second": {2, 140, refused, nil, func(w *world) {
 			time.Sleep(time.Second)
 			w.killEach(time.Second, 0, 1, 0, 1)
--- a/request/forward.go
+++ b/request/forward.go
@@ -174,7 +174,7 @@
 	a := AttemptOutcome{
 		Ending: e, Unrepeatable: r.req.Unrepeatable, MayHaveRun: r.life.MayHaveRun,
 		Budget: r.opts.NoBudget || r.retryCharged.Load() || r.work.Budget.Left(now), GiveUpAt: r.giveUpAt(),
-		Strict: r.opts.Retry != nil, AttemptsExhausted: e == EndedUnsent || r.attemptsExhausted(e),
+		Strict: r.opts.Retries != nil, AttemptsExhausted: e == EndedUnsent || r.attemptsExhausted(e),
 	}
 	v := r.opts.judge(now, &a)
 	r.countDenied(a, v)
--- a/request/servicestate.go
+++ b/request/servicestate.go
@@ -23,32 +23,32 @@
 	Zone             string
 	Route            RoutePolicy
 	Move             MovePolicy
-	MaxQueued        int                   // maximum queued requests of one service
-	FirstWait        time.Duration         // timeout for the first event of an endpoint
-	Stall            time.Duration         // timeout between events of an endpoint
-	Drain            time.Duration         // how long an endpoint continues after it announces that it leaves
-	Grace            time.Duration         // how long a request continues past its deadline
-	Detached         time.Duration         // how long an answer with an idempotency key continues without a reader
-	Keep             time.Duration         // retention of a finished answer with an idempotency key
-	KeepMost         int                   // maximum number of retained answers
-	Transfer         float64               // KV export rate of an engine, in tokens per second
-	StartLimit       int                   // initial concurrency limit of a service
-	NoLimit          bool                  // disables the adaptive limit, for comparison
-	NoBudget         bool                  // disables the retry budget, for comparison
-	NoFairQueue      bool                  // one queue for all teams, for comparison
-	Retry            *RetryBound           // bound on retries over all daemons; nil for a share of the successes
-	RouteWait        time.Duration         // maximum wait for an eligible endpoint; 0 for the request's deadline
-	Listed           Listed                // nil if the endpoint list never expires
-	PreferRendezvous func() bool           // reports whether daemons see little of what others send; nil for no
-	OnSent           func(s SentPrompt)    // called for each prompt sent to an engine; nil for none
-	Without          mechanism.Set         // mechanisms that are switched off
-	Trials           Trials                // canary evaluation of rolled-out versions; nil for none
-	SecondRuns       SecondRuns            // decides on second runs after an endpoint's own error; nil allows all
-	Judge            JudgePolicy           // decides what follows an attempt; nil for Classify
-	Permits          Permits               // for endpoints with an advertised rate limit; nil for none
-	OnAdvertised     func(w EndpointState) // called when an endpoint's answers advertise new state; nil for none
-	Forwarder        Forwarder             // sends requests through other daemons; nil if each daemon sends its own
-	Holds            HoldTransport         // shares with other daemons which requests are held back
+	MaxQueued        int                      // maximum queued requests of one service
+	FirstWait        time.Duration            // timeout for the first event of an endpoint
+	Stall            time.Duration            // timeout between events of an endpoint
+	Drain            time.Duration            // how long an endpoint continues after it announces that it leaves
+	Grace            time.Duration            // how long a request continues past its deadline
+	Detached         time.Duration            // how long an answer with an idempotency key continues without a reader
+	Keep             time.Duration            // retention of a finished answer with an idempotency key
+	KeepMost         int                      // maximum number of retained answers
+	Transfer         float64                  // KV export rate of an engine, in tokens per second
+	StartLimit       int                      // initial concurrency limit of a service
+	NoLimit          bool                     // disables the adaptive limit, for comparison
+	NoBudget         bool                     // disables the retry budget, for comparison
+	NoFairQueue      bool                     // one queue for all teams, for comparison
+	Retries          func(key string) Retries // returns the retry budget of a service, which no retry exceeds; nil for a share of the successes
+	RouteWait        time.Duration            // maximum wait for an eligible endpoint; 0 for the request's deadline
+	Listed           Listed                   // nil if the endpoint list never expires
+	PreferRendezvous func() bool              // reports whether daemons see little of what others send; nil for no
+	OnSent           func(s SentPrompt)       // called for each prompt sent to an engine; nil for none
+	Without          mechanism.Set            // mechanisms that are switched off
+	Trials           Trials                   // canary evaluation of rolled-out versions; nil for none
+	SecondRuns       SecondRuns               // decides on second runs after an endpoint's own error; nil allows all
+	Judge            JudgePolicy              // decides what follows an attempt; nil for Classify
+	Permits          Permits                  // for endpoints with an advertised rate limit; nil for none
+	OnAdvertised     func(w EndpointState)    // called when an endpoint's answers advertise new state; nil for none
+	Forwarder        Forwarder                // sends requests through other daemons; nil if each daemon sends its own
+	Holds            HoldTransport            // shares with other daemons which requests are held back
 
 	Now          func() time.Time // clock for ages and deadlines; nil for time.Now
 	RefreshClock func()           // refreshes Now after a wait; nil for nothing
@@ -92,12 +92,12 @@
 	return Classify(now, *a)
 }
 
-// retries returns a new retry budget for a service.
-func (o *Options) retries() Retries {
-	if o.Retry == nil {
+// retries returns the retry budget of a service.
+func (o *Options) retries(key string) Retries {
+	if o.Retries == nil {
 		return NewBudget()
 	}
-	return NewWindowBudget(*o.Retry)
+	return o.Retries(key)
 }
 
 // Defaults returns the default options of a daemon.
@@ -137,7 +137,7 @@
 	k = &ServiceState{
 		Pool:   NewPool(key, w.opts.Zone, s.PerBox),
 		Queue:  NewQueue(NewLimiter(w.opts.StartLimit, s.FirstToken.Duration), w.opts.MaxQueued),
-		Budget: w.opts.retries(),
+		Budget: w.opts.retries(key),
 		Speed:  &Speed{},
 	}
 	k.Pool.cost.NoStart = !w.opts.Without.On(mechanism.StartTime)
--- a/request/settle.go
+++ b/request/settle.go
@@ -45,7 +45,7 @@
 	a := AttemptOutcome{
 		Ending: e, Unrepeatable: r.req.Unrepeatable, MayHaveRun: r.life.MayHaveRun,
 		Budget: r.opts.NoBudget || r.retryCharged.Load() || r.work.Budget.Left(now), GiveUpAt: r.giveUpAt(),
-		Strict: r.opts.Retry != nil, AttemptsExhausted: r.attemptsExhausted(e),
+		Strict: r.opts.Retries != nil, AttemptsExhausted: r.attemptsExhausted(e),
 	}
 	v := r.judgeSecondRun(e, failure, r.opts.judge(now, &a))
 	r.life.MayHaveRun = a.MayHaveRun
