request: log the shared parts of a prompt whose endpoint closed the connection

Whether the requests have something in common could not be told: their line names a print of the whole content, which differs with each. `attempt ended` has `parts` (ids of the parts of the prompt but the last, eight at most) and `events` (of the answer so far) now if the endpoint closed the connection.

--- a/request/requestlog.go
+++ b/request/requestlog.go
@@ -3,6 +3,7 @@
 package request
 
 import (
+	"strconv"
 	"strings"
 	"time"
 
@@ -73,6 +74,9 @@
 			"endpoint_closed": conn.EndpointClosed(failure), "ends_before": r.Holds.Ledger.Suspected(r.print),
 			"budget": budget, "charged": v.Action == Retry && v.Spend,
 		}
+		if x := r.req.Relay; x != nil && conn.EndpointClosed(failure) {
+			f["parts"], f["events"] = sharedPartIDs(x.Parts), r.events
+		}
 		if r.failedBySelf(e, failure) {
 			f["second_run"] = v.Action == Retry
 		}
@@ -80,6 +84,18 @@
 	}
 }
 
+// maxLoggedParts bounds the parts of a prompt in a log line.
+const maxLoggedParts = 8
+
+// sharedPartIDs returns the ids of a prompt's parts but the last, as their callers write them.
+func sharedPartIDs(parts []Part) string {
+	var ids []string
+	for i := 0; i+1 < len(parts) && i < maxLoggedParts; i++ {
+		ids = append(ids, strconv.FormatUint(parts[i].ID, 16))
+	}
+	return strings.Join(ids, ",")
+}
+
 // logEnd logs the end of the request.
 func (r *run) logEnd(now time.Time, err *code.Error) {
 	level := logrus.InfoLevel
