crash, request, entry: a part of prompts that crashes endpoints is held back

What callers saw: endpoint after endpoint ended under requests with one part in their prompts, 138 and 133 of them in the users' record, and half of the sound requests beside them failed.

Cause: the ledger blamed whole requests. What crashed endpoints was what the requests had in common, and no two of them were alike, so that each was a stranger.

TestAPartThatCrashesEndpointsIsHeldBack failed: 30 to 160 requests with the part reached endpoints later than 3 s after the fifth crash.

Why this works: a crash counts against the content and each shared part of the prompts that were in flight and whose answers had hardly begun. A part becomes a cause at three crashes, each of a request sent after the one before, under two contents or more. An endpoint that lives on for 0.5 s after the first event of an answer shows that the parts of that prompt caused none of the crashes before; daemons report this of suspects, and a verdict waits 1.2 s for it. Of what is left the part that was in flight for most crashes is held back, the one furthest in prompts if several were, and only together with parts that were in flight for the very same crashes. A verdict explains its crashes, so that what ran beside is cleared. It goes the way of the verdicts that there are: to all daemons, into the table, until an answer or an hour.

The cases also have a part that was answered before it turned deadly, one that only ever came with the deadly one, and 40 daemons.

--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -38,6 +38,8 @@
 type Flight struct {
 	Print Fingerprint   `codec:"p"`
 	For   time.Duration `codec:"f"` // time since it was sent there
+	// Parts are the parts of its prompt but the last, in order; none if its answer began SurvivalTime before or earlier.
+	Parts []Fingerprint `codec:"s,omitempty"`
 }
 
 // EndpointCrash is the crash of an endpoint, with the requests that one daemon had in flight there.
@@ -49,7 +51,7 @@
 // crashRecord is the ledger's record of an endpoint's crash.
 type crashRecord struct {
 	at    time.Time
-	cause *suspect // the held-back request that caused it; nil if unknown
+	cause Fingerprint // of the verdict that explains it; zero if unknown
 }
 
 // suspect is a request that was in flight at endpoints when they crashed.
@@ -63,7 +65,7 @@
 // count returns the number of crashes that no other request is known to have caused.
 func (s *suspect) count() (n int) {
 	for _, e := range s.crashes {
-		if e.cause == nil || e.cause == s {
+		if e.cause == (Fingerprint{}) || e.cause == s.print {
 			n++
 		}
 	}
@@ -74,12 +76,15 @@
 // The zero value is ready. Its methods are safe for concurrent use.
 type Ledger struct {
 	verdictCount atomic.Int32 // number of verdicts; lets Held skip the lock while it is 0
+	partCount    atomic.Int32 // number of suspected and watched parts; the same for Survived and Evaluate
 
 	mu       sync.Mutex
 	crashes  map[string]*crashRecord // last crash of each endpoint
 	suspects map[Fingerprint]*suspect
 	verdicts map[Fingerprint]Verdict
 	answered Recent[Fingerprint]
+	parts    map[Fingerprint]*partSuspect
+	watched  map[Fingerprint]*watch
 }
 
 // lazyInit makes the zero value usable. The caller holds the lock.
@@ -88,11 +93,19 @@
 		return
 	}
 	l.crashes, l.suspects, l.verdicts = make(map[string]*crashRecord), make(map[Fingerprint]*suspect), make(map[Fingerprint]Verdict)
+	l.parts, l.watched = make(map[Fingerprint]*partSuspect), make(map[Fingerprint]*watch)
 	l.answered = Recent[Fingerprint]{Period: answeredTTL, Most: maxAnswered}
 }
 
-// AddCrash records the crash of an endpoint and returns the new verdicts.
-func (l *Ledger) AddCrash(now time.Time, e EndpointCrash) (fresh []Verdict) {
+// updateCounts updates the counts that are read without the lock, which the caller holds.
+func (l *Ledger) updateCounts() {
+	l.verdictCount.Store(int32(len(l.verdicts)))
+	l.partCount.Store(int32(len(l.parts) + len(l.watched)))
+}
+
+// AddCrash records the crash of an endpoint. It returns the new verdicts on contents, and the parts of prompts that are
+// newly watched.
+func (l *Ledger) AddCrash(now time.Time, e EndpointCrash) (fresh []Verdict, watched []Fingerprint) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lazyInit()
@@ -107,12 +120,9 @@
 		if s := l.blame(now, crash, f); s != nil {
 			suspects = append(suspects, s)
 		}
+		l.blameParts(now, crash, f)
 	}
-	for _, s := range suspects {
-		if _, held := l.verdicts[s.print]; held && crash.cause == nil {
-			crash.cause = s
-		}
-	}
+	l.explain(crash, e.Flights)
 	// A request that is held back explains the crashes it was in flight for, so that others are no
 	// longer suspected for them. Suspects are checked by their time in flight, shortest first, as a
 	// request that crashes an endpoint does so when it begins.
@@ -123,7 +133,20 @@
 		}
 		fresh = append(fresh, l.issueVerdict(now, s))
 	}
-	return fresh
+	watched = l.watchSuspects(now)
+	l.updateCounts()
+	return fresh, watched
+}
+
+// explain attributes a crash to a verdict on what was in flight. The caller holds the lock.
+func (l *Ledger) explain(c *crashRecord, flights []Flight) {
+	for _, f := range flights {
+		for _, p := range append([]Fingerprint{f.Print}, f.Parts...) {
+			if v, held := l.verdicts[p]; held && c.cause == (Fingerprint{}) && v.names(f.Parts) {
+				c.cause = p
+			}
+		}
+	}
 }
 
 // blame adds a crash to a request's record. It returns nil if the request was answered recently.
@@ -149,7 +172,7 @@
 func (l *Ledger) issueVerdict(now time.Time, s *suspect) Verdict {
 	first := now
 	for _, e := range s.crashes {
-		if e.cause == nil && e.at.Before(first) {
+		if e.cause == (Fingerprint{}) && e.at.Before(first) {
 			first = e.at
 		}
 	}
@@ -164,14 +187,10 @@
 		l.evictSoonest()
 	}
 	l.verdicts[v.Print] = v
-	l.verdictCount.Store(int32(len(l.verdicts)))
-	s := l.suspects[v.Print]
-	if s == nil {
-		return
-	}
-	for _, e := range s.crashes {
-		if e.cause == nil {
-			e.cause = s
+	l.updateCounts()
+	for _, e := range l.crashesOf(v.Print) {
+		if e.cause == (Fingerprint{}) {
+			e.cause = v.Print
 		}
 	}
 }
@@ -188,7 +207,11 @@
 	if !v.Until.After(now) {
 		return false
 	}
-	l.apply(l.verdicts[v.Print].merge(v.bounded(now)))
+	v = l.verdicts[v.Print].merge(v.bounded(now))
+	if v.issued.IsZero() {
+		v.issued = now
+	}
+	l.apply(v)
 	return false
 }
 
@@ -214,13 +237,16 @@
 }
 
 func (l *Ledger) clear(now time.Time, p Fingerprint) {
+	if _, held := l.verdicts[p]; held {
+		l.release(p)
+	}
 	delete(l.suspects, p)
-	delete(l.verdicts, p)
-	l.verdictCount.Store(int32(len(l.verdicts)))
-	l.answered.Add(now, p)
+	if l.parts[p] == nil {
+		l.answered.Add(now, p)
+	}
 }
 
-// Held returns the verdict on a request, and whether it is held back.
+// Held returns the verdict on a content or a part, and whether it is in force.
 func (l *Ledger) Held(now time.Time, p Fingerprint) (v Verdict, held bool) {
 	if l.verdictCount.Load() == 0 {
 		return Verdict{}, false
@@ -231,6 +257,19 @@
 	return v, held && v.Until.After(now)
 }
 
+// HeldRequest returns the verdict by which a request with a content and parts of its prompt is held back, if there is one.
+func (l *Ledger) HeldRequest(now time.Time, content Fingerprint, parts []Fingerprint) (v Verdict, held bool) {
+	if v, held = l.Held(now, content); held {
+		return v, true
+	}
+	for _, p := range parts {
+		if v, held = l.Held(now, p); held && v.names(parts) {
+			return v, true
+		}
+	}
+	return Verdict{}, false
+}
+
 // Suspected returns the number of crashes that a request was in flight for and that no other request
 // is known to have caused.
 func (l *Ledger) Suspected(p Fingerprint) int {
@@ -258,13 +297,14 @@
 		}
 		out = append(out, v)
 	}
-	l.verdictCount.Store(int32(len(l.verdicts)))
+	l.updateCounts()
 	return out
 }
 
 // evict deletes expired records, and the oldest suspects if there are too many. The caller holds the
 // lock.
 func (l *Ledger) evict(now time.Time) {
+	l.evictParts(now)
 	maps.DeleteFunc(l.crashes, func(_ string, e *crashRecord) bool { return now.Sub(e.at) >= dedupWindow })
 	maps.DeleteFunc(l.suspects, func(_ Fingerprint, s *suspect) bool { return now.Sub(s.lastSeen) >= suspectTTL })
 	if len(l.suspects) <= maxSuspects {
--- a/crash/verdict.go
+++ b/crash/verdict.go
@@ -2,7 +2,10 @@
 
 package crash
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// verdictTTL is how long a verdict holds. The endpoints may run other software by then; a
@@ -26,10 +29,23 @@
 // Verdict is the state of a request that is held back.
 type Verdict struct {
 	Print     Fingerprint
-	Crashes   int       // endpoint crashes that it was in flight for
-	Trials    int       // times that it was tried again since
-	NextTrial time.Time // earliest time of the next trial
-	Until     time.Time // expiry of the verdict
+	Crashes   int           // endpoint crashes that it was in flight for
+	Trials    int           // times that it was tried again since
+	NextTrial time.Time     // earliest time of the next trial
+	Until     time.Time     // expiry of the verdict
+	With      []Fingerprint // parts of a prompt that a request must have as well to be held back
+
+	issued time.Time // when it came into force here
+}
+
+// names reports whether a prompt has all the parts that the verdict names beside its own.
+func (v Verdict) names(parts []Fingerprint) bool {
+	for _, p := range v.With {
+		if !slices.Contains(parts, p) {
+			return false
+		}
+	}
+	return true
 }
 
 // newVerdict returns the verdict on a request after some crashes within span.
@@ -38,7 +54,7 @@
 	if span < simultaneousWindow {
 		pause = uncertainRetryDelay
 	}
-	return Verdict{Print: p, Crashes: ends, NextTrial: now.Add(pause), Until: now.Add(verdictTTL)}
+	return Verdict{Print: p, Crashes: ends, NextTrial: now.Add(pause), Until: now.Add(verdictTTL), issued: now}
 }
 
 // Due reports whether the request may be tried again now.
@@ -64,6 +80,7 @@
 // written by others.
 func (v Verdict) bounded(now time.Time) Verdict {
 	v.Trials = max(v.Trials, 0)
+	v.With = v.With[:min(len(v.With), maxWith)]
 	if latest := now.Add(verdictTTL); v.Until.After(latest) {
 		v.Until = latest
 	}
@@ -78,6 +95,9 @@
 	if v.Until.After(x.Until) {
 		x.Until = v.Until
 	}
-	x.Crashes = max(x.Crashes, v.Crashes)
+	if v.Print == x.Print && len(v.With) < len(x.With) {
+		x.With = v.With // the wider one
+	}
+	x.Crashes, x.issued = max(x.Crashes, v.Crashes), v.issued
 	return x
 }
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -20,6 +20,7 @@
 
 func (d *Daemon) holdShare() request.HoldTransport {
 	return request.HoldTransport{
+		Partial:   d.largeFleet,
 		ReportEnd: d.sendCrash, Forward: d.forwardCrash, Table: d.table, WallClock: func(now time.Time) time.Time { return d.wall.At(now) },
 		Broadcast:      func(p conn.Payload) { d.Hub.Broadcast(p) },
 		SendNeighbours: func(p conn.Payload) { d.sendToAll(d.Hub.Mesh.NeighbourNames(), p) },
--- a/entry/crashpart_test.go
+++ b/entry/crashpart_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,7 +34,7 @@
 type partWorld struct {
 	*world
 	mu      sync.Mutex
-	deadly  []string
+	spared  bool // no part is deadly yet
 	crashes []time.Time
 	starts  int
 	every   []*standin.Runner
@@ -50,7 +51,9 @@
 	id := fmt.Sprint("i-", w.starts)
 	r, err := standin.NewRunner(w.net, runnerHost+"0", id, 12, 20*time.Millisecond)
 	require.NoError(w.t, err)
-	r.SetFault(standin.RunnerFault{CrashPart: deadlyPart})
+	if !w.spared {
+		r.SetFault(standin.RunnerFault{CrashPart: deadlyPart})
+	}
 	r.OnCrash = func() {
 		w.mu.Lock()
 		w.crashes = append(w.crashes, time.Now())
@@ -63,6 +66,16 @@
 	w.store.Put(platform.RunnerTable, "", id, r.Entry(engines, "a", "ready"))
 }
 
+// arm makes the deadly part deadly.
+func (w *partWorld) arm() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.spared = false
+	for _, r := range w.every {
+		r.SetFault(standin.RunnerFault{CrashPart: deadlyPart})
+	}
+}
+
 // prompt returns a prompt's parts; the last one differs with each.
 func prompt(shared ...string) string {
 	parts := ""
@@ -91,6 +104,7 @@
 	sound     func() []string    // the shared parts of a sound one
 	meanwhile func(w *partWorld) // begins with the first deadly prompt; may be nil
 	prepare   func(w *world)     // may be nil
+	turns     bool               // deadly prompts come from the start on, and become deadly after before
 }
 
 // partOutcome is the outcome of a partLoad.
@@ -108,7 +122,7 @@
 		p.prepare = func(*world) {}
 	}
 	inWorldOf(t, p.daemons, p.prepare, func(w *world) {
-		pw := &partWorld{world: w}
+		pw := &partWorld{world: w, spared: p.turns}
 		for range 30 {
 			pw.engine()
 		}
@@ -139,15 +153,22 @@
 				time.Sleep(time.Second / soundPerSecond)
 			}
 		})
-		time.Sleep(p.before)
+		deadly := func(until time.Duration) {
+			for time.Since(began) < until {
+				wg.Go(func() { ask(p.deadly()) })
+				time.Sleep(time.Duration(float64(time.Second) / p.perSecond))
+			}
+		}
+		if p.turns {
+			deadly(p.before)
+		}
+		time.Sleep(p.before - time.Since(began))
 		out.began = time.Now()
+		pw.arm()
 		if p.meanwhile != nil {
 			wg.Go(func() { p.meanwhile(pw) })
 		}
-		for time.Since(began) < p.before+p.span {
-			wg.Go(func() { ask(p.deadly()) })
-			time.Sleep(time.Duration(float64(time.Second) / p.perSecond))
-		}
+		deadly(p.before + p.span)
 		wg.Wait()
 		time.Sleep(restartTime + time.Second)
 		out.count(pw)
@@ -213,7 +234,11 @@
 func TestAPartThatCrashesEndpointsIsHeldBack(t *testing.T) {
 	const first, other = "aaaa0001", "bbbb0001"
 	subject := func(prefix string) string { return fmt.Sprint(prefix, 1000+rand.IntN(20)) }
+	var companion atomic.Bool
 	sound := func() []string {
+		if companion.Load() && rand.IntN(3) == 0 {
+			return []string{first, "eeee0001"}
+		}
 		if rand.IntN(3) == 0 {
 			return []string{first, subject("cc")}
 		}
@@ -229,9 +254,20 @@
 			time.Sleep(2 * time.Second)
 			w.killEach(time.Second, 0, 1, 2, 3, 4, 5, 6, 7, 8)
 		}},
+		"all daemons are killed": {daemons: 9, perSecond: 4.5, deadly: func() []string { return []string{first, deadlyPart} }, meanwhile: func(w *partWorld) {
+			time.Sleep(5 * time.Second)
+			w.killEach(0, 0, 1, 2, 3, 4, 5, 6, 7, 8)
+		}},
+		"answered before": {daemons: 9, perSecond: 4.5, deadly: func() []string { return []string{first, deadlyPart, subject("ff")} }, turns: true},
+		"a sound part that only came with it": {daemons: 9, perSecond: 4.5, deadly: func() []string { return []string{first, deadlyPart, "eeee0001"} }, meanwhile: func(*partWorld) {
+			time.Sleep(6 * time.Second)
+			companion.Store(true)
+		}},
+		"40 daemons": {daemons: 40, perSecond: 4.5, deadly: func() []string { return []string{first, deadlyPart} }, prepare: func(w *world) { w.zones = []string{"a", "b", "c", "d"} }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p.before, p.span, p.sound = 4*time.Second, 16*time.Second, sound
+			companion.Store(false)
 			o := p.run(t)
 			require.GreaterOrEqual(t, o.crashes, 5)
 			o.check(t, first)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -235,6 +235,7 @@
 		d.Server.Works.Tick(now, len(d.Hub.Mesh.Members()))
 		d.runners.tick(now)
 		d.forwards.tick(now)
+		d.Server.Holds.Evaluate(now)
 		d.rollouts.tick(now)
 		d.words.flush(now)
 		d.observeWallClock(now)
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -199,7 +199,7 @@
 		return EndedUnsent, errors.New("request: endpoint is leaving")
 	}
 	r.life.apply(eventSend)
-	r.started, r.expected, r.first, r.events, r.signedFailure = r.Now(), c.First, 0, 0, false
+	r.started, r.expected, r.first, r.events, r.signedFailure, r.survived = r.Now(), c.First, 0, 0, false, false
 	r.expectedWait = c.First - c.Own - c.Start
 	var ending Ending
 	var err error
--- a/request/forward.go
+++ b/request/forward.go
@@ -86,7 +86,7 @@
 	r.logForward(now, name)
 	r.Count.Forwarded.Add(1)
 	r.life.apply(eventSend)
-	r.started, r.expected, r.first, r.events, r.signedFailure = now, 0, 0, 0, false
+	r.started, r.expected, r.first, r.events, r.signedFailure, r.survived = now, 0, 0, 0, false, false
 	ending, result, failure := r.forwardAttempt(ctx, name)
 	if ctx.Err() != nil && ending != EndedComplete {
 		ending = EndedCallerGone
--- a/request/holdmessage.go
+++ b/request/holdmessage.go
@@ -14,28 +14,31 @@
 	End      *crash.EndpointCrash `codec:"e,omitempty"`
 	Verdicts []wireVerdict        `codec:"v,omitempty"`
 	Cleared  []crash.Fingerprint  `codec:"c,omitempty"`
+	Survived *crash.Survival      `codec:"s,omitempty"` // for the daemons that collect ends of endpoints
+	Watch    []crash.Fingerprint  `codec:"w,omitempty"` // parts of which daemons report that endpoints survive them
 }
 
 // wireVerdict is a verdict as encoded on a link. Times are relative to the present, as the
 // boxes' clocks differ.
 type wireVerdict struct {
-	Print  crash.Fingerprint `codec:"p"`
-	Ends   int               `codec:"n"`
-	Trials int               `codec:"t,omitempty"`
-	Next   time.Duration     `codec:"a"`
-	Left   time.Duration     `codec:"l"`
+	Print  crash.Fingerprint   `codec:"p"`
+	Ends   int                 `codec:"n"`
+	Trials int                 `codec:"t,omitempty"`
+	Next   time.Duration       `codec:"a"`
+	Left   time.Duration       `codec:"l"`
+	With   []crash.Fingerprint `codec:"w,omitempty"`
 }
 
 // verdictMessage returns the message for verdicts.
 func verdictMessage(now time.Time, vs ...crash.Verdict) (n holdMessage) {
 	for _, v := range vs {
-		n.Verdicts = append(n.Verdicts, wireVerdict{v.Print, v.Crashes, v.Trials, v.NextTrial.Sub(now), v.Until.Sub(now)})
+		n.Verdicts = append(n.Verdicts, wireVerdict{v.Print, v.Crashes, v.Trials, v.NextTrial.Sub(now), v.Until.Sub(now), v.With})
 	}
 	return n
 }
 
 func (w wireVerdict) verdict(now time.Time) crash.Verdict {
-	return crash.Verdict{Print: w.Print, Crashes: w.Ends, Trials: w.Trials, NextTrial: now.Add(w.Next), Until: now.Add(w.Left)}
+	return crash.Verdict{Print: w.Print, Crashes: w.Ends, Trials: w.Trials, NextTrial: now.Add(w.Next), Until: now.Add(w.Left), With: w.With}
 }
 
 // sendMessage encodes and sends a message, unless way is nil.
@@ -55,12 +58,18 @@
 		h.log.Warnf("crash report from %s is malformed: %v", from, err)
 		return
 	}
+	if (n.End != nil || n.Survived != nil) && h.share.Forward != nil {
+		h.share.Forward(from, p)
+	}
 	if n.End != nil {
-		if h.share.Forward != nil {
-			h.share.Forward(from, p)
-		}
 		h.recordEnd(now, *n.End)
 	}
+	if n.Survived != nil {
+		h.recordSurvival(now, *n.Survived)
+	}
+	if len(n.Watch) > 0 {
+		h.Ledger.Watch(now, n.Watch)
+	}
 	for _, w := range n.Verdicts {
 		h.applyVerdict(now, from, w.verdict(now))
 	}
--- a/request/holdrows.go
+++ b/request/holdrows.go
@@ -32,6 +32,8 @@
 	Trials int   `json:"trials"`
 	Next   int64 `json:"next_ms"`
 	Until  int64 `json:"until_ms"`
+
+	With []string `json:"with,omitempty"` // further parts that a prompt must have
 }
 
 // wallClock returns the wall-clock time.
@@ -46,7 +48,11 @@
 func (h *Holds) encodeVerdict(now time.Time, v crash.Verdict) []byte {
 	day := h.wallClock(now)
 	at := func(t time.Time) int64 { return day.Add(t.Sub(now)).UnixMilli() }
-	b, _ := json.Marshal(rowVerdict{v.Crashes, v.Trials, at(v.NextTrial), at(v.Until)}) // a struct of numbers always encodes
+	w := rowVerdict{Ends: v.Crashes, Trials: v.Trials, Next: at(v.NextTrial), Until: at(v.Until)}
+	for _, p := range v.With {
+		w.With = append(w.With, p.String())
+	}
+	b, _ := json.Marshal(w) // a struct of numbers and texts always encodes
 	return b
 }
 
@@ -62,7 +68,15 @@
 	}
 	day := h.wallClock(now)
 	at := func(ms int64) time.Time { return now.Add(time.UnixMilli(ms).Sub(day)) }
-	return crash.Verdict{Print: p, Crashes: w.Ends, Trials: w.Trials, NextTrial: at(w.Next), Until: at(w.Until)}, nil
+	v := crash.Verdict{Print: p, Crashes: w.Ends, Trials: w.Trials, NextTrial: at(w.Next), Until: at(w.Until)}
+	for _, text := range w.With {
+		with, err := crash.ParseFingerprint(text)
+		if err != nil {
+			return crash.Verdict{}, err
+		}
+		v.With = append(v.With, with)
+	}
+	return v, nil
 }
 
 func holdKey(p crash.Fingerprint) seam.Key { return seam.Key{Part: holdPartition, Sort: p.String()} }
--- a/request/holds.go
+++ b/request/holds.go
@@ -20,6 +20,7 @@
 type HoldTransport struct {
 	ReportEnd      func(conn.Payload)                // sends to the daemons that collect ends of endpoints
 	Forward        func(from string, p conn.Payload) // forwards a report to those of them that its sender does not reach; nil for never
+	Partial        func() bool                       // reports whether ends are sent to some daemons only; nil for no
 	Broadcast      func(conn.Payload)                // sends to all daemons
 	SendNeighbours func(conn.Payload)                // sends to the daemons that this one has links with
 	Table          seam.Table                        // stores verdicts beyond the end of all daemons; nil for none
@@ -55,14 +56,57 @@
 // recordEnd records the end of an endpoint, reported by any daemon, and publishes new verdicts.
 func (h *Holds) recordEnd(now time.Time, e crash.EndpointCrash) {
 	h.onEnd(now, e.Endpoint)
-	for _, v := range h.Ledger.AddCrash(now, e) {
-		h.log.WithFields(logrus.Fields{
-			"print": v.Print.String(), "ends": v.Crashes, "last_endpoint": e.Endpoint, "beside": len(e.Flights) - 1,
-			"until_s": v.Until.Sub(now).Seconds(), "tried_again_s": v.NextTrial.Sub(now).Seconds(),
-		}).Warn("request held back: it crashes endpoints")
-		sendMessage(h.share.Broadcast, verdictMessage(now, v))
-		h.storeVerdict(v)
+	fresh, watched := h.Ledger.AddCrash(now, e)
+	for _, v := range fresh {
+		h.publish(now, v, logrus.Fields{"last_endpoint": e.Endpoint, "beside": len(e.Flights) - 1}, "request held back: it crashes endpoints")
 	}
+	if len(watched) > 0 && h.share.Partial != nil && h.share.Partial() {
+		sendMessage(h.share.Broadcast, holdMessage{Watch: watched})
+	}
+}
+
+// publish logs, sends and stores a new verdict.
+func (h *Holds) publish(now time.Time, v crash.Verdict, f logrus.Fields, text string) {
+	h.log.WithFields(f).WithFields(logrus.Fields{
+		"print": v.Print.String(), "ends": v.Crashes, "until_s": v.Until.Sub(now).Seconds(), "tried_again_s": v.NextTrial.Sub(now).Seconds(),
+	}).Warn(text)
+	sendMessage(h.share.Broadcast, verdictMessage(now, v))
+	h.storeVerdict(v)
+}
+
+// Evaluate publishes new verdicts on parts of prompts.
+func (h *Holds) Evaluate(now time.Time) {
+	fresh, cleared := h.Ledger.Evaluate(now)
+	for _, v := range fresh {
+		h.publish(now, v, logrus.Fields{"with": len(v.With)}, "requests with a part in their prompts held back: it crashes endpoints")
+	}
+	h.clear(cleared, "verdict cleared: a part of prompts explains its crashes")
+}
+
+// clear ends verdicts everywhere.
+func (h *Holds) clear(prints []crash.Fingerprint, why string) {
+	if len(prints) == 0 {
+		return
+	}
+	for _, p := range prints {
+		h.log.WithField("print", p.String()).Info(why)
+		h.deleteVerdict(p)
+	}
+	sendMessage(h.share.Broadcast, holdMessage{Cleared: prints})
+}
+
+// reportSurvival records that an endpoint has survived an answer here, and reports the parts that others suspect.
+func (h *Holds) reportSurvival(now time.Time, s crash.Survival) {
+	if s.Parts = h.recordSurvival(now, s); len(s.Parts) > 0 {
+		sendMessage(h.share.ReportEnd, holdMessage{Survived: &s})
+	}
+}
+
+// recordSurvival records that an endpoint has survived an answer, at any daemon. It returns the parts to report.
+func (h *Holds) recordSurvival(now time.Time, s crash.Survival) (report []crash.Fingerprint) {
+	report, cleared := h.Ledger.Survived(now, s)
+	h.clear(cleared, "part of prompts answered: requests with it are no longer held back")
+	return report
 }
 
 // recordSuccess records that a request was answered successfully, and clears suspicion of it everywhere.
@@ -93,7 +137,7 @@
 // daemon wins the claim to run it.
 func (r *run) checkHold(ctx context.Context) *code.Error {
 	now := r.Now()
-	v, held := r.Holds.Ledger.Held(now, r.print)
+	v, held := r.Holds.Ledger.HeldRequest(now, r.print, r.parts())
 	if !held || r.holdTrial && !r.life.MayHaveRun {
 		return nil
 	}
--- a/request/relay.go
+++ b/request/relay.go
@@ -14,6 +14,7 @@
 
 	"streambend.example/clock"
 	"streambend.example/conn"
+	"streambend.example/crash"
 	"streambend.example/mechanism"
 	"streambend.example/pace"
 )
@@ -356,6 +357,9 @@
 		}
 		if c.Target != nil {
 			c.Target.recordData(r.opts.now)
+			if now, begun := r.Now(), r.started.Add(r.first); now.Sub(begun) >= crash.SurvivalTime {
+				r.reportSurvival(now, begun)
+			}
 		}
 		if ev.ID >= 0 && x.lastEvent > 0 && ev.ID <= x.lastEvent {
 			return EndedBroken, errEventOrder
--- a/request/server.go
+++ b/request/server.go
@@ -165,9 +165,11 @@
 	life   *Life
 	work   *ServiceState
 
-	print     crash.Fingerprint
-	holdTrial bool // the request is held back, and this is its trial
-	succeeded bool // the last attempt returned a complete and successful answer
+	print      crash.Fingerprint
+	partPrints []crash.Fingerprint // of the parts of its prompt; nil before they are needed
+	survived   bool                // the last attempt's endpoint has survived the beginning of its answer
+	holdTrial  bool                // the request is held back, and this is its trial
+	succeeded  bool                // the last attempt returned a complete and successful answer
 
 	signedFailure   bool // the last attempt returned a failure signed by the endpoint
 	secondRun       bool // the call runs again after an endpoint's own error
--- a/request/settle.go
+++ b/request/settle.go
@@ -11,7 +11,6 @@
 
 	"streambend.example/code"
 	"streambend.example/conn"
-	"streambend.example/crash"
 	"streambend.example/mechanism"
 )
 
@@ -35,7 +34,7 @@
 	}
 	if conn.EndpointClosed(failure) || errors.Is(failure, errRestarted) && e == EndedBroken {
 		r.Count.CutOff.Add(1)
-		r.ends.connectionClosed(r.baseCtx, t, crash.Flight{Print: r.print, For: now.Sub(r.started)})
+		r.ends.connectionClosed(r.baseCtx, t, r.flight(now))
 	}
 	r.recordPath(now, t, e, failure)
 	if !errors.Is(failure, errStaleList) && !errors.Is(failure, errBarred) {
@@ -205,6 +204,7 @@
 	r.work.Budget.Earn()
 	if r.succeeded {
 		r.Holds.recordSuccess(now, r.print)
+		r.reportSurvival(now, r.started.Add(r.first))
 	}
 	event := eventComplete
 	if now.After(r.req.Deadline) {
