request, entry: a daemon that has just started knows what is held back before it sends requests

What callers saw: after restarts endpoints ended once more under requests that all other daemons held back.

Cause: a daemon that starts took requests as soon as it had the configuration and the endpoints; the verdicts came from the table or with the others' next round, up to a second later.

Why this works: a daemon asks its neighbours for the verdicts from its start on, beside reading the table, and requests wait for either, for a second after the start at most. Where neither answers they are served.

--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -6,6 +6,7 @@
 	"context"
 	"time"
 
+	"streambend.example/clock"
 	"streambend.example/conn"
 	"streambend.example/request"
 )
@@ -20,7 +21,7 @@
 
 func (d *Daemon) holdShare() request.HoldTransport {
 	return request.HoldTransport{
-		Partial:   d.largeFleet,
+		Partial: d.largeFleet, AwaitKnown: !d.Site().First,
 		ReportEnd: d.sendCrash, Forward: d.forwardCrash, Table: d.table, WallClock: func(now time.Time) time.Time { return d.wall.At(now) },
 		Broadcast:      func(p conn.Payload) { d.Hub.Broadcast(p) },
 		SendNeighbours: func(p conn.Payload) { d.sendToAll(d.Hub.Mesh.NeighbourNames(), p) },
@@ -70,3 +71,40 @@
 		}
 	}
 }
+
+const (
+	// askHolds asks a daemon for the requests that are held back.
+	askHolds = "holds"
+	// holdsAskTimeout is the timeout of that query.
+	holdsAskTimeout = 200 * time.Millisecond
+)
+
+// askForHolds asks neighbours for the requests that are held back, until this daemon knows them: it may be sent requests
+// before it can read the store.
+func (d *Daemon) askForHolds(ctx context.Context) {
+	for ; ctx.Err() == nil && !d.Server.Holds.Known(); sleep(ctx, startPoll) {
+		for _, name := range d.Hub.Mesh.NeighbourNames() {
+			if d.Server.Holds.Known() || d.askHoldsOf(ctx, name) {
+				break
+			}
+		}
+	}
+}
+
+// askHoldsOf asks one daemon, and reports whether it knew all.
+func (d *Daemon) askHoldsOf(ctx context.Context, name string) (known bool) {
+	ctx, cancel := context.WithTimeout(ctx, holdsAskTimeout)
+	defer cancel()
+	body, err := d.Hub.Ask(ctx, name, askHolds, nil)
+	if err != nil {
+		return false // the next one may know; a daemon of the version before does not answer this
+	}
+	known, err = d.Server.Holds.ApplyState(clock.Now(), name, body)
+	if err != nil {
+		d.log.WithField("part", "crash").Warnf("invalid list of held requests from %s: %v", name, err)
+	}
+	if known {
+		d.Server.Holds.SetKnown()
+	}
+	return known
+}
--- a/entry/crashpart_test.go
+++ b/entry/crashpart_test.go
@@ -135,7 +135,14 @@
 			number++
 			id := fmt.Sprint("p-", number)
 			mu.Unlock()
-			return w.askFor(rand.IntN(p.daemons), http.MethodPost, "/explain/", id, "body of "+id, "Streambend-Prompt-Prefix", prompt(parts...), "Streambend-Token-Counts", "350,60")
+			header := []string{"Streambend-Prompt-Prefix", prompt(parts...), "Streambend-Token-Counts", "350,60"}
+			for { // until the connection meets a daemon that is up
+				a := w.askFor(rand.IntN(p.daemons), http.MethodPost, "/explain/", id, "body of "+id, header...)
+				if a.err == nil || !strings.Contains(a.err.Error(), "refused") {
+					return a
+				}
+				time.Sleep(5 * time.Millisecond)
+			}
 		}
 		began := time.Now()
 		wg.Go(func() {
@@ -258,6 +265,12 @@
 			time.Sleep(5 * time.Second)
 			w.killEach(0, 0, 1, 2, 3, 4, 5, 6, 7, 8)
 		}},
+		"daemons are killed again and again": {daemons: 9, perSecond: 9, deadly: func() []string { return []string{first, deadlyPart} }, meanwhile: func(w *partWorld) {
+			time.Sleep(5 * time.Second)
+			for range 3 {
+				w.killEach(330*time.Millisecond, 0, 1, 2, 3, 4, 5, 6, 7, 8)
+			}
+		}},
 		"answered before": {daemons: 9, perSecond: 4.5, deadly: func() []string { return []string{first, deadlyPart, subject("ff")} }, turns: true},
 		"a sound part that only came with it": {daemons: 9, perSecond: 4.5, deadly: func() []string { return []string{first, deadlyPart, "eeee0001"} }, meanwhile: func(*partWorld) {
 			time.Sleep(6 * time.Second)
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -226,6 +226,7 @@
 	d.run(func() { d.duties.run(d.ctx) })
 	d.run(func() { d.syncMembers(d.ctx) })
 	d.run(func() { d.loadHolds(d.ctx) })
+	d.run(func() { d.askForHolds(d.ctx) })
 	d.every(holdsInterval, d.Server.Holds.ResendVerdicts)
 	d.every(holdsInterval, d.rollouts.sendReports)
 	d.every(evaluationPeriod, d.rollouts.evaluate)
@@ -309,6 +310,8 @@
 		return d.forwards.answerReach(body)
 	case askRecord:
 		return d.streams.answer(body)
+	case askHolds:
+		return d.Server.Holds.State(clock.Now()), nil
 	case askRepeats:
 		return d.repeats.answer()
 	case tellRepeats:
--- a/request/holdmessage.go
+++ b/request/holdmessage.go
@@ -82,6 +82,29 @@
 	}
 }
 
+// holdState is what a daemon tells one that has started.
+type holdState struct {
+	Verdicts []wireVerdict `codec:"v,omitempty"`
+	Known    bool          `codec:"k,omitempty"`
+}
+
+// State returns the verdicts in force, encoded for a daemon that has started.
+func (h *Holds) State(now time.Time) []byte {
+	return conn.Marshal(holdState{verdictMessage(now, h.Ledger.Verdicts(now)...).Verdicts, h.Known()})
+}
+
+// ApplyState applies another daemon's State. It reports whether that daemon knew all verdicts.
+func (h *Holds) ApplyState(now time.Time, from string, body []byte) (known bool, err error) {
+	var s holdState
+	if err := conn.Unmarshal(body, &s); err != nil {
+		return false, err
+	}
+	for _, w := range s.Verdicts {
+		h.applyVerdict(now, from, w.verdict(now))
+	}
+	return s.Known, nil
+}
+
 // applyVerdict processes a verdict from another daemon or the table. If the request was recently answered
 // here, the verdict is cleared everywhere instead.
 func (h *Holds) applyVerdict(now time.Time, from string, v crash.Verdict) {
--- a/request/holdrows.go
+++ b/request/holdrows.go
@@ -106,6 +106,7 @@
 			h.applyVerdict(now, "the table", v)
 		}
 	}
+	h.SetKnown()
 	h.ResendVerdicts(now)
 	return true
 }
--- a/request/holds.go
+++ b/request/holds.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,7 @@
 	SendNeighbours func(conn.Payload)                // sends to the daemons that this one has links with
 	Table          seam.Table                        // stores verdicts beyond the end of all daemons; nil for none
 	WallClock      func(now time.Time) time.Time     // the wall-clock time; nil for the box's clock
+	AwaitKnown     bool                              // requests wait for SetKnown after a start
 }
 
 // Holds holds back requests that crash endpoints. The other daemons must know a verdict
@@ -40,10 +42,50 @@
 	ctx      context.Context // ends with the daemon
 	Ended    atomic.Int64    // endpoints that this daemon has seen end while requests were running
 	claiming atomic.Bool     // a trial is being claimed
+
+	began    time.Time
+	known    chan struct{} // closed once the verdicts from before the start are known
+	setKnown sync.Once
 }
 
 func newHolds(ctx context.Context, o *Options, log *logrus.Entry) *Holds {
-	return &Holds{share: o.Holds, now: o.now, log: log, ctx: ctx}
+	h := &Holds{share: o.Holds, now: o.now, log: log, ctx: ctx, began: o.now(), known: make(chan struct{})}
+	if !o.Holds.AwaitKnown {
+		h.SetKnown()
+	}
+	return h
+}
+
+// SetKnown records that the verdicts from before the start of this daemon are known.
+func (h *Holds) SetKnown() { h.setKnown.Do(func() { close(h.known) }) }
+
+// Known reports whether the verdicts from before the start of this daemon are known.
+func (h *Holds) Known() bool {
+	select {
+	case <-h.known:
+		return true
+	default:
+		return false
+	}
+}
+
+// maxKnownWait is how long after the start of a daemon requests wait for the verdicts from before it: they are known within
+// some tenths of a second, unless neither another daemon nor the table answers.
+const maxKnownWait = time.Second
+
+// awaitKnown waits until the verdicts from before the start are known, but not for long.
+func (h *Holds) awaitKnown(ctx context.Context) {
+	left := maxKnownWait - h.now().Sub(h.began)
+	if h.Known() || left <= 0 {
+		return
+	}
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-h.known:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 // reportEnd records and reports the end of an endpoint that this daemon has detected.
--- a/request/server.go
+++ b/request/server.go
@@ -249,6 +249,7 @@
 	now := r.Now()
 	r.life.apply(eventQueue)
 	if !r.pathLost() { // otherwise the daemon that the request is sent through checks it
+		r.Holds.awaitKnown(ctx)
 		if err := r.checkHold(ctx); err != nil {
 			return err
 		}
