--- a/crash/part.go
+++ b/crash/part.go
@@ -279,6 +279,13 @@
 // Suspects reports whether parts of prompts are suspected or watched.
 func (l *Ledger) Suspects() bool { return l.partCount.Load() > 0 }
 
+// SuspectedParts returns the number of parts of prompts that are suspected.
+func (l *Ledger) SuspectedParts() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.parts)
+}
+
 // Survival is the evidence of one answer: an endpoint has survived it since its first event, whose age is given.
 type Survival struct {
 	Parts []Fingerprint `codec:"p"` // of its prompt
