--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -3,6 +3,7 @@
 package standin
 
 import (
+	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -333,14 +334,12 @@
 		fmt.Fprint(w, text)
 		panic(http.ErrAbortHandler)
 	case f.NoLength:
-		c, buf, err := http.NewResponseController(w).Hijack()
+		c, buf, err := hijack(w)
 		if err != nil {
 			return
 		}
 		defer c.Close()
-		fmt.Fprint(buf, "HTTP/1.1 200 OK\r\n")
-		w.Header().Write(buf)
-		fmt.Fprintf(buf, "Connection: close\r\n\r\n%s", text)
+		fmt.Fprint(buf, text)
 		buf.Flush()
 	default:
 		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
@@ -348,6 +347,18 @@
 	}
 }
 
+// hijack writes the head of a response that ends with its connection, and returns what to write the rest to.
+func hijack(w http.ResponseWriter) (net.Conn, *bufio.ReadWriter, error) {
+	c, buf, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return nil, nil, err
+	}
+	fmt.Fprint(buf, "HTTP/1.1 200 OK\r\n")
+	w.Header().Write(buf)
+	fmt.Fprint(buf, "Connection: close\r\n\r\n")
+	return c, buf, nil
+}
+
 // eventsFor returns the number of events in the response to a path.
 func (r *Runner) eventsFor(path string) int {
 	for prefix, n := range r.ByPath {
@@ -361,11 +372,23 @@
 func (r *Runner) stream(w http.ResponseWriter, q *http.Request, f RunnerFault, at, events int) {
 	w.Header().Set("Content-Type", "text/event-stream")
 	from, _ := strconv.Atoi(q.Header.Get("Last-Event-Id")) // absent: from the start
-	flush := http.NewResponseController(w)
+	out, flush := io.Writer(w), http.NewResponseController(w).Flush
+	if f.NoLength {
+		c, buf, err := hijack(w)
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		out, flush = buf, buf.Flush
+	}
 	for i := from + 1; i <= events; i++ {
 		if f.CutAfter > 0 && i > f.CutAfter {
 			if f.CutEvent {
-				fmt.Fprintf(w, "id: %d\nda", i)
+				fmt.Fprintf(out, "id: %d\nda", i)
+			}
+			if f.NoLength {
+				flush()
+				return
 			}
 			panic(http.ErrAbortHandler)
 		}
@@ -375,8 +398,8 @@
 			return
 		case <-time.After(f.slowed(r.Pace)):
 		}
-		fmt.Fprintf(w, "id: %d\ndata: event %d%s\n\n", i, i, r.mark())
-		flush.Flush()
+		fmt.Fprintf(out, "id: %d\ndata: event %d%s\n\n", i, i, r.mark())
+		flush()
 	}
 }
 
