--- a/crash/bench_test.go
+++ b/crash/bench_test.go
@@ -3,6 +3,7 @@
 package crash_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -45,3 +46,21 @@
 		i++
 	}
 }
+
+// BenchmarkCrashWithParts measures a crash with 32 requests of four shared parts in flight, and the evaluation after it.
+func BenchmarkCrashWithParts(b *testing.B) {
+	var l crash.Ledger
+	now := start
+	i := 0
+	for b.Loop() {
+		i++
+		e := crash.EndpointCrash{Endpoint: fmt.Sprint("i-", i%1000)}
+		for j := range 32 {
+			parts := partsOf("common", fmt.Sprint("second-", j), fmt.Sprint("third-", (i*32+j)%4096), "fourth")
+			e.Flights = append(e.Flights, crash.Flight{Print: printOf(j), For: time.Second, Parts: parts})
+		}
+		now = now.Add(time.Second)
+		l.AddCrash(now, e)
+		l.Evaluate(now)
+	}
+}
--- a/crash/part.go
+++ b/crash/part.go
@@ -22,7 +22,7 @@
 	// minContents is the number of different requests with a part that must have been in flight: what one request
 	// crashes is blamed on its content.
 	minContents = 2
-	// maxPartSuspects bounds the suspected parts, and maxPartRuns the crashes that are kept of each, at 80 bytes.
+	// maxPartSuspects bounds the suspected parts, and maxPartRuns the requests that are kept of each, at 48 bytes.
 	maxPartSuspects = 2048
 	maxPartRuns     = 32
 	// maxWith bounds the parts that a verdict names beside its own.
