crash, request: a verdict that has ended does not come back with an older message

What callers saw: nothing yet; found by reading. A sound part that had been cleared would have been held back again, for an hour, by the round of a daemon that did not know of its end.

Cause: the end of a verdict on a part left nothing behind at the daemons that took it, and each daemon sends its verdicts again each second.

Evidence: TestAnEndedVerdictDoesNotComeBack fails without this (the older verdict was merged and in force).

A later verdict on the same part is taken. The end of a verdict on a part has a message of its own, which does not exonerate as an answer to a whole content does.

--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -85,6 +85,7 @@
 	answered Recent[Fingerprint]
 	parts    map[Fingerprint]*partSuspect
 	watched  map[Fingerprint]*watch
+	cleared  map[Fingerprint]time.Time // when verdicts ended
 }
 
 // lazyInit makes the zero value usable. The caller holds the lock.
@@ -93,7 +94,7 @@
 		return
 	}
 	l.crashes, l.suspects, l.verdicts = make(map[string]*crashRecord), make(map[Fingerprint]*suspect), make(map[Fingerprint]Verdict)
-	l.parts, l.watched = make(map[Fingerprint]*partSuspect), make(map[Fingerprint]*watch)
+	l.parts, l.watched, l.cleared = make(map[Fingerprint]*partSuspect), make(map[Fingerprint]*watch), make(map[Fingerprint]time.Time)
 	l.answered = Recent[Fingerprint]{Period: answeredTTL, Most: maxAnswered}
 }
 
@@ -196,12 +197,12 @@
 }
 
 // Merge merges a verdict of another daemon. It reports whether the verdict is wrong because the
-// request was answered here recently.
+// request was answered here recently, or the verdict has ended.
 func (l *Ledger) Merge(now time.Time, v Verdict) (wrong bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.lazyInit()
-	if l.answered.Has(now, v.Print) {
+	if l.answered.Has(now, v.Print) || l.hasEnded(now, v) {
 		return true
 	}
 	if !v.Until.After(now) {
@@ -238,12 +239,10 @@
 
 func (l *Ledger) clear(now time.Time, p Fingerprint) {
 	if _, held := l.verdicts[p]; held {
-		l.release(p)
+		l.release(now, p)
 	}
 	delete(l.suspects, p)
-	if l.parts[p] == nil {
-		l.answered.Add(now, p)
-	}
+	l.answered.Add(now, p)
 }
 
 // Held returns the verdict on a content or a part, and whether it is in force.
--- a/crash/part_test.go
+++ b/crash/part_test.go
@@ -155,6 +155,31 @@
 	assert.False(t, p.held("deadly"))
 }
 
+// Guards against a verdict that comes back with the message of a daemon that did not know of its end yet.
+func TestAnEndedVerdictDoesNotComeBack(t *testing.T) {
+	p := newPartPlay()
+	deadly := func() {
+		for range 4 {
+			p.crash([]string{"first", "deadly"})
+			p.pass(300 * time.Millisecond)
+			p.survives("first")
+		}
+		p.pass(2 * time.Second)
+	}
+	deadly()
+	v, _ := p.Held(p.now, partOf("deadly"))
+	p.survives("deadly")
+	assert.True(t, p.Merge(p.now, v), "it has ended")
+	assert.False(t, p.held("deadly"))
+	p.pass(time.Second)
+	deadly()
+	again, _ := p.Held(p.now, partOf("deadly"))
+	var other crash.Ledger
+	other.Merge(p.now, v)
+	other.End(p.now.Add(-3*time.Second), partsOf("deadly"))
+	assert.False(t, other.Merge(p.now, again), "a later verdict")
+}
+
 // Guards against a request that holds back others that share a part with it though it alone crashes endpoints.
 func TestOneContentBlamesNoPart(t *testing.T) {
 	p := newPartPlay()
--- a/crash/verdict.go
+++ b/crash/verdict.go
@@ -57,6 +57,9 @@
 	return Verdict{Print: p, Crashes: ends, NextTrial: now.Add(pause), Until: now.Add(verdictTTL), issued: now}
 }
 
+// began returns when the verdict was made.
+func (v Verdict) began() time.Time { return v.Until.Add(-verdictTTL) }
+
 // Due reports whether the request may be tried again now.
 func (v Verdict) Due(now time.Time) bool { return v.Trials < maxTrials && !now.Before(v.NextTrial) }
 
--- a/request/holdmessage.go
+++ b/request/holdmessage.go
@@ -14,6 +14,7 @@
 	End      *crash.EndpointCrash `codec:"e,omitempty"`
 	Verdicts []wireVerdict        `codec:"v,omitempty"`
 	Cleared  []crash.Fingerprint  `codec:"c,omitempty"`
+	Ended    []crash.Fingerprint  `codec:"x,omitempty"` // verdicts that have ended without an answer to their content
 	Survived *crash.Survival      `codec:"s,omitempty"` // for the daemons that collect ends of endpoints
 	Watch    []crash.Fingerprint  `codec:"w,omitempty"` // parts of which daemons report that endpoints survive them
 }
@@ -67,6 +68,9 @@
 	if n.Survived != nil {
 		h.recordSurvival(now, *n.Survived)
 	}
+	if len(n.Ended) > 0 {
+		h.Ledger.End(now, n.Ended)
+	}
 	if len(n.Watch) > 0 {
 		h.Ledger.Watch(now, n.Watch)
 	}
@@ -110,6 +114,10 @@
 func (h *Holds) applyVerdict(now time.Time, from string, v crash.Verdict) {
 	_, known := h.Ledger.Held(now, v.Print)
 	if h.Ledger.Merge(now, v) {
+		if h.Ledger.Ended(now, v) {
+			h.endVerdicts([]crash.Fingerprint{v.Print}, "verdict from "+from+" has ended here")
+			return
+		}
 		h.log.WithField("print", v.Print.String()).Infof("request held back by %s was recently answered here: verdict cleared", from)
 		sendMessage(h.share.Broadcast, holdMessage{Cleared: []crash.Fingerprint{v.Print}})
 		h.deleteVerdict(v.Print)
--- a/request/holds.go
+++ b/request/holds.go
@@ -118,15 +118,15 @@
 
 // Evaluate publishes new verdicts on parts of prompts.
 func (h *Holds) Evaluate(now time.Time) {
-	fresh, cleared := h.Ledger.Evaluate(now)
+	fresh, ended := h.Ledger.Evaluate(now)
 	for _, v := range fresh {
 		h.publish(now, v, logrus.Fields{"with": len(v.With)}, "requests with a part in their prompts held back: it crashes endpoints")
 	}
-	h.clear(cleared, "verdict cleared: a part of prompts explains its crashes")
+	h.endVerdicts(ended, "verdict ended: a part of prompts explains its crashes")
 }
 
-// clear ends verdicts everywhere.
-func (h *Holds) clear(prints []crash.Fingerprint, why string) {
+// endVerdicts ends verdicts everywhere.
+func (h *Holds) endVerdicts(prints []crash.Fingerprint, why string) {
 	if len(prints) == 0 {
 		return
 	}
@@ -134,7 +134,7 @@
 		h.log.WithField("print", p.String()).Info(why)
 		h.deleteVerdict(p)
 	}
-	sendMessage(h.share.Broadcast, holdMessage{Cleared: prints})
+	sendMessage(h.share.Broadcast, holdMessage{Ended: prints})
 }
 
 // reportSurvival records that an endpoint has survived an answer here, and reports the parts that others suspect.
@@ -146,8 +146,8 @@
 
 // recordSurvival records that an endpoint has survived an answer, at any daemon. It returns the parts to report.
 func (h *Holds) recordSurvival(now time.Time, s crash.Survival) (report []crash.Fingerprint) {
-	report, cleared := h.Ledger.Survived(now, s)
-	h.clear(cleared, "part of prompts answered: requests with it are no longer held back")
+	report, ended := h.Ledger.Survived(now, s)
+	h.endVerdicts(ended, "part of prompts answered: requests with it are no longer held back")
 	return report
 }
 
