entry, budget: a daemon with many repeats tells all of a large fleet

What callers saw: nothing; more repeats than the bound where most callers go to one daemon of many and then to another.

Cause: in a fleet of more than 12 daemons the reports on repeats go to four others, so that the daemon that the callers came to did not know what had been spent on their account.

Evidence: TestRepeatsStayWithinTheBoundAsCallersMove with 40 daemons failed, 379 repeats of 336.

Why this works: a daemon that has made more repeats in the window than a quarter of the slack broadcasts its report once a second. Under an even load no daemon has as many.

--- a/budget/report.go
+++ b/budget/report.go
@@ -20,6 +20,18 @@
 	Services map[string]Counts `codec:"c"`
 }
 
+// Repeats returns the repeats of the service that has the most.
+func (r Report) Repeats() (most int) {
+	for _, c := range r.Services {
+		n := 0
+		for _, x := range c {
+			n += x.Repeats
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
 // received is a report and the time at which its newest step began.
 type received struct {
 	Report
--- a/entry/repeatbound_test.go
+++ b/entry/repeatbound_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -205,16 +206,20 @@
 // once more.
 func TestRepeatsStayWithinTheBoundAsCallersMove(t *testing.T) {
 	refused := standin.RunnerFault{NotRun: true}
-	for name, move := range map[string]func(w *world){
-		"their daemon goes on": func(*world) {},
-		"their daemon ends":    func(w *world) { w.kill(0) },
+	for name, c := range map[string]struct {
+		daemons int
+		move    func(w *world)
+	}{
+		"their daemon goes on": {7, func(*world) {}},
+		"their daemon ends":    {7, func(w *world) { w.kill(0) }},
+		"among 40":             {40, func(w *world) {}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			favourite := 0
-			p := repeatPlay{7, 140, refused, func(*world, int) int { return favourite }, func(w *world) {
+			var favourite atomic.Int32
+			p := repeatPlay{c.daemons, 140, refused, func(*world, int) int { return int(favourite.Load()) }, func(w *world) {
 				time.Sleep(2500 * time.Millisecond)
-				favourite = 1
-				move(w)
+				favourite.Store(1)
+				c.move(w)
 			}}
 			n, bound := worstRepeats(p.run(t))
 			t.Logf("%d repeats in the worst %s, %.0f allowed", n, repeatWindow, bound)
--- a/entry/repeatbudget.go
+++ b/entry/repeatbudget.go
@@ -33,6 +33,9 @@
 	// joined since may rank among the first.
 	repeatHolders      = 4
 	repeatAskedHolders = 8
+	// A daemon of a large fleet that has made more repeats in the window than this share of the slack tells all others,
+	// once in a repeatReportPeriod: it has much of the load, which may move to another one.
+	repeatBroadcastShare = 0.25
 	// repeatTimeout is how long a daemon waits for another to take a report, or to answer with those that it holds.
 	repeatTimeout = 200 * time.Millisecond
 	// repeatAskPause is how long a daemon that has started waits to ask again if none of the others knew.
@@ -46,6 +49,8 @@
 	ledger *budget.Ledger
 	wake   chan struct{}
 	read   atomic.Bool // the rows of the daemons in this one's zone were read
+
+	broadcast time.Time // when all daemons were last told; used by one goroutine
 }
 
 // repeatReply is the answer to askRepeats.
@@ -77,8 +82,9 @@
 // report reports this daemon's repeats until it ends.
 func (b *repeatBudget) report(ctx context.Context) {
 	for ctx.Err() == nil {
-		if r, ok := b.ledger.Report(clock.Now()); ok {
-			b.send(r)
+		now := clock.Now()
+		if r, ok := b.ledger.Report(now); ok {
+			b.send(now, r)
 		}
 		sleep(ctx, repeatReportDelay)
 		passed, stop := after(repeatReportPeriod)
@@ -91,13 +97,17 @@
 	}
 }
 
-// send sends a report to the daemons that hold this one's: to all in a small fleet.
-func (b *repeatBudget) send(r budget.Report) {
+// send sends a report to the daemons that hold this one's: to all in a small fleet, or if there are many repeats in it.
+func (b *repeatBudget) send(now time.Time, r budget.Report) {
 	body := conn.Marshal([]budget.Report{r})
 	if !b.d.largeFleet() {
 		b.d.sendToAll(b.d.Hub.Mesh.NeighbourNames(), conn.Payload{Repeats: body})
 		return
 	}
+	if float64(r.Repeats()) > repeatBroadcastShare*b.d.Site().Bounds.RetrySlack && now.Sub(b.broadcast) >= repeatReportPeriod {
+		b.broadcast = now
+		b.d.Hub.Broadcast(conn.Payload{Repeats: body})
+	}
 	ctx, cancel := context.WithTimeout(b.d.ctx, repeatTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
