crash: an answer ends a verdict also at a daemon that has seen none of its crashes

What callers saw: nothing yet; found by reading. The trial of a part that is held back, answered by a daemon that had started since, did not end the verdict: sound requests with the part would have been refused for the rest of the hour.

Cause: whether a survival is looked at went by the suspects and not by the verdicts, and an answer after the verdict ended it only where its crashes were known.

Evidence: TestASurvivedPartIsHeldBackNoLonger fails without this.

Why this works: verdicts count as well, and an answer that began after a verdict ends it everywhere, whatever else is known.

--- a/crash/cause.go
+++ b/crash/cause.go
@@ -10,7 +10,7 @@
 )
 
 // Evaluate returns new verdicts on parts of prompts, and the earlier verdicts that end as these explain their crashes.
-func (l *Ledger) Evaluate(now time.Time) (fresh []Verdict, cleared []Fingerprint) {
+func (l *Ledger) Evaluate(now time.Time) (fresh []Verdict, ended []Fingerprint) {
 	if l.partCount.Load() == 0 {
 		return nil, nil
 	}
@@ -20,32 +20,32 @@
 	for {
 		s := l.likeliest(now)
 		if s == nil {
-			return fresh, cleared
+			return fresh, ended
 		}
-		v := newVerdict(now, s.print, len(s.crashes()), simultaneousWindow)
+		v := newVerdict(now, s.print, len(s.crashes()), simultaneousWindow) // its crashes were one after the other
 		v.With = l.inseparable(s)
 		for _, c := range s.crashes() {
 			c.cause = s.print
 		}
 		l.apply(v)
 		fresh = append(fresh, v)
-		cleared = append(cleared, l.supersede(now, s.print)...)
+		ended = append(ended, l.supersede(now, s.print)...)
 	}
 }
 
 // supersede removes the verdicts whose crashes are all explained by another one. The caller holds the lock.
-func (l *Ledger) supersede(now time.Time, by Fingerprint) (cleared []Fingerprint) {
+func (l *Ledger) supersede(now time.Time, by Fingerprint) (ended []Fingerprint) {
 	for p := range l.verdicts {
 		crashes := l.crashesOf(p)
 		if p == by || len(crashes) == 0 || slices.ContainsFunc(crashes, func(c *crashRecord) bool { return c.cause != by }) {
 			continue
 		}
 		delete(l.verdicts, p)
-		l.cleared[p] = now
-		cleared = append(cleared, p)
+		l.ended[p] = now
+		ended = append(ended, p)
 	}
 	l.updateCounts()
-	return cleared
+	return ended
 }
 
 // likeliest returns the part that was in flight for most crashes, among those that must have caused some, or nil. Of parts
--- a/crash/ledger.go
+++ b/crash/ledger.go
@@ -76,7 +76,7 @@
 // The zero value is ready. Its methods are safe for concurrent use.
 type Ledger struct {
 	verdictCount atomic.Int32 // number of verdicts; lets Held skip the lock while it is 0
-	partCount    atomic.Int32 // number of suspected and watched parts; the same for Survived and Evaluate
+	partCount    atomic.Int32 // number of suspected and watched parts and of verdicts; the same for Survived and Evaluate
 
 	mu       sync.Mutex
 	crashes  map[string]*crashRecord // last crash of each endpoint
@@ -85,7 +85,7 @@
 	answered Recent[Fingerprint]
 	parts    map[Fingerprint]*partSuspect
 	watched  map[Fingerprint]*watch
-	cleared  map[Fingerprint]time.Time // when verdicts ended
+	ended    map[Fingerprint]time.Time // when verdicts ended
 }
 
 // lazyInit makes the zero value usable. The caller holds the lock.
@@ -94,14 +94,14 @@
 		return
 	}
 	l.crashes, l.suspects, l.verdicts = make(map[string]*crashRecord), make(map[Fingerprint]*suspect), make(map[Fingerprint]Verdict)
-	l.parts, l.watched, l.cleared = make(map[Fingerprint]*partSuspect), make(map[Fingerprint]*watch), make(map[Fingerprint]time.Time)
+	l.parts, l.watched, l.ended = make(map[Fingerprint]*partSuspect), make(map[Fingerprint]*watch), make(map[Fingerprint]time.Time)
 	l.answered = Recent[Fingerprint]{Period: answeredTTL, Most: maxAnswered}
 }
 
 // updateCounts updates the counts that are read without the lock, which the caller holds.
 func (l *Ledger) updateCounts() {
 	l.verdictCount.Store(int32(len(l.verdicts)))
-	l.partCount.Store(int32(len(l.parts) + len(l.watched)))
+	l.partCount.Store(int32(len(l.parts) + len(l.watched) + len(l.verdicts)))
 }
 
 // AddCrash records the crash of an endpoint. It returns the new verdicts on contents, and the parts of prompts that are
--- a/crash/part.go
+++ b/crash/part.go
@@ -25,9 +25,9 @@
 	maxPartRuns     = 32
 	// maxWith bounds the parts that a verdict names beside its own.
 	maxWith = 3
-	// clearedTTL is how long a verdict that has ended is remembered, so that it does not come back with a message or a row
+	// endedTTL is how long a verdict that has ended is remembered, so that it does not come back with a message or a row
 	// that is older than its end.
-	clearedTTL = 10 * time.Minute
+	endedTTL = 10 * time.Minute
 	// watchTTL is how long a daemon reports that parts survive after it was asked to, and survivalInterval how often
 	// it reports it of one part.
 	watchTTL         = 5 * time.Second
@@ -123,7 +123,7 @@
 // evictParts deletes expired suspects, and the oldest if there are too many. The caller holds the lock.
 func (l *Ledger) evictParts(now time.Time) {
 	maps.DeleteFunc(l.parts, func(_ Fingerprint, s *partSuspect) bool { return now.Sub(s.lastSeen) >= suspectTTL })
-	maps.DeleteFunc(l.cleared, func(_ Fingerprint, at time.Time) bool { return now.Sub(at) >= clearedTTL })
+	maps.DeleteFunc(l.ended, func(_ Fingerprint, at time.Time) bool { return now.Sub(at) >= endedTTL })
 	maps.DeleteFunc(l.watched, func(_ Fingerprint, w *watch) bool { return !now.Before(w.until) })
 	if len(l.parts) > maxPartSuspects {
 		oldest := slices.SortedFunc(maps.Values(l.parts), func(a, b *partSuspect) int { return a.lastSeen.Compare(b.lastSeen) })
--- a/crash/part_test.go
+++ b/crash/part_test.go
@@ -151,8 +151,17 @@
 	}
 	p.pass(2 * time.Second)
 	assert.True(t, p.held("deadly"))
+	v, _ := p.Held(p.now, partOf("deadly"))
 	p.survives("deadly")
 	assert.False(t, p.held("deadly"))
+
+	var other crash.Ledger // has seen none of the crashes
+	other.Merge(p.now, v)
+	now := p.now.Add(10 * time.Minute) // of the trial
+	_, ended := other.Survived(now, crash.Survival{Parts: partsOf("deadly"), Age: crash.SurvivalTime})
+	assert.Equal(t, partsOf("deadly"), ended)
+	_, held := other.HeldRequest(now, printOf(-1), partsOf("deadly"))
+	assert.False(t, held)
 }
 
 // Guards against a verdict that comes back with the message of a daemon that did not know of its end yet.
--- a/crash/survival.go
+++ b/crash/survival.go
@@ -46,7 +46,7 @@
 	return fresh
 }
 
-// Suspects reports whether parts of prompts are suspected or watched.
+// Suspects reports whether parts of prompts are suspected, watched or held back.
 func (l *Ledger) Suspects() bool { return l.partCount.Load() > 0 }
 
 // SuspectedParts returns the number of parts of prompts that are suspected.
@@ -64,7 +64,7 @@
 
 // Survived records that an endpoint has survived an answer, so that the parts of its prompt have not caused the crashes
 // before. It returns those whose survival is to be reported to the other daemons, and the verdicts that end with it.
-func (l *Ledger) Survived(now time.Time, s Survival) (report, cleared []Fingerprint) {
+func (l *Ledger) Survived(now time.Time, s Survival) (report, ended []Fingerprint) {
 	if l.partCount.Load() == 0 {
 		return nil, nil
 	}
@@ -73,33 +73,28 @@
 	begun := now.Add(-max(s.Age, 0))
 	for _, p := range s.Parts {
 		if l.survivedPart(now, p, begun) {
-			cleared = append(cleared, p)
+			ended = append(ended, p)
 		}
 		if w := l.watched[p]; w != nil && now.Before(w.until) && now.Sub(w.reported) >= survivalInterval {
 			w.reported = now
 			report = append(report, p)
 		}
 	}
-	return report, cleared
+	return report, ended
 }
 
 // survivedPart records that an endpoint has survived a part, and reports whether that ends a verdict: its answer began after
 // the verdict, or after so many of the crashes that the others prove nothing. The caller holds the lock.
-func (l *Ledger) survivedPart(now time.Time, p Fingerprint, begun time.Time) (cleared bool) {
+func (l *Ledger) survivedPart(now time.Time, p Fingerprint, begun time.Time) (ended bool) {
 	v, held := l.verdicts[p]
-	s := l.parts[p]
-	if s == nil {
-		if held = held && begun.After(v.issued); held {
-			l.release(now, p)
+	before, proved := l.crashesOf(p), true
+	if s := l.parts[p]; s != nil {
+		s.survive(begun)
+		if len(s.crashes()) < len(before) {
+			_, proved = s.causeAt()
 		}
-		return held
-	}
-	before := s.crashes()
-	s.survive(begun)
-	if !held || len(before) == len(s.crashes()) {
-		return false
 	}
-	if _, proved := s.causeAt(); proved {
+	if !held || proved && !begun.After(v.issued) {
 		return false
 	}
 	unexplain(before, p)
@@ -126,14 +121,14 @@
 }
 
 func (l *Ledger) hasEnded(now time.Time, v Verdict) bool {
-	at, ok := l.cleared[v.Print]
+	at, ok := l.ended[v.Print]
 	return ok && !v.bounded(now).began().After(at)
 }
 
 // release removes a verdict. The crashes that it explained have no known cause any more. The caller holds the lock.
 func (l *Ledger) release(now time.Time, p Fingerprint) {
 	delete(l.verdicts, p)
-	l.cleared[p] = now
+	l.ended[p] = now
 	unexplain(l.crashesOf(p), p)
 	if s := l.parts[p]; s != nil {
 		s.runs = nil
