--- a/code/code.go
+++ b/code/code.go
@@ -114,7 +114,7 @@
 	{Isolated, "isolated", http.StatusServiceUnavailable, NotRun, "The daemon has neither table nor peers and its configuration may be old."},
 	{TeamShare, "team-share", http.StatusTooManyRequests, NotRun, "The team is over its share while others wait."},
 	{Overloaded, "overloaded", http.StatusServiceUnavailable, NotRun, "Too much is waiting at the endpoints for an answer in time; come back after Retry-After."},
-	{CrashesEndpoints, "crashes-endpoints", http.StatusServiceUnavailable, NotRun, "Endpoints have crashed under this very request before; it is not run again before Retry-After."},
+	{CrashesEndpoints, "crashes-endpoints", http.StatusServiceUnavailable, NotRun, "Endpoints have crashed under this very request before, or under others with a part of its prompt; it is not run before Retry-After."},
 	{AtLimits, "at-limits", http.StatusServiceUnavailable, NotRun, "Each endpoint that could take the request has said that it takes no more for now; come back after Retry-After."},
 	{NoPath, "no-path", http.StatusServiceUnavailable, NotRun, "The daemon reaches no endpoint of the service, and no other daemon takes the request over; come back after Retry-After."},
 	{VersionUnknown, "version-unknown", http.StatusServiceUnavailable, NotRun, "Several versions of the service may have begun the stream that the caller takes up, and no daemon that was reached knows which; begin a new stream."},
