--- a/crash/part_test.go
+++ b/crash/part_test.go
@@ -64,15 +64,15 @@
 	return held
 }
 
-// Guards against sound parts that are blamed for running beside a deadly one: rare ones, and one that all requests share.
-func TestRarePartsBesideADeadlyOneAreNotHeldBack(t *testing.T) {
+// Guards against sound parts that are blamed for running beside a crashing one: rare ones, and one that all requests share.
+func TestRarePartsBesideACrashingOneAreNotHeldBack(t *testing.T) {
 	for seed := range uint64(30) {
 		r := rand.New(rand.NewPCG(seed, 1))
 		p := newPartPlay()
 		rare := func() string { return fmt.Sprint("rare-", r.IntN(2000)) }
 		for range 200 {
-			if !p.held("common", "deadly") {
-				prompts := [][]string{{"common", "deadly"}}
+			if !p.held("common", "crashing") {
+				prompts := [][]string{{"common", "crashing"}}
 				for range r.IntN(4) {
 					prompts = append(prompts, []string{"common", rare()})
 				}
@@ -83,7 +83,7 @@
 				p.survives("common", rare())
 			}
 		}
-		assert.True(t, p.held("common", "deadly"), "seed %d", seed)
+		assert.True(t, p.held("common", "crashing"), "seed %d", seed)
 		assert.LessOrEqual(t, p.endpoints, 16, "seed %d", seed)
 		for i := range 2000 {
 			assert.False(t, p.held("common", fmt.Sprint("rare-", i)), "seed %d", seed)
@@ -101,28 +101,28 @@
 	assert.Empty(t, p.Verdicts(p.now))
 }
 
-func TestTwoDeadlyPartsAreBothHeldBack(t *testing.T) {
+func TestTwoCrashingPartsAreBothHeldBack(t *testing.T) {
 	p := newPartPlay()
 	for i := range 12 {
-		if q := []string{"common", []string{"deadly-a", "deadly-b"}[i%2]}; !p.held(q...) {
+		if q := []string{"common", []string{"crashing-a", "crashing-b"}[i%2]}; !p.held(q...) {
 			p.crash(q)
 		}
 		p.pass(300 * time.Millisecond)
 		p.survives("common", "sound")
 	}
 	p.pass(2 * time.Second)
-	assert.True(t, p.held("common", "deadly-a"))
-	assert.True(t, p.held("other", "deadly-b"))
+	assert.True(t, p.held("common", "crashing-a"))
+	assert.True(t, p.held("other", "crashing-b"))
 	assert.False(t, p.held("common", "sound"))
 }
 
-// Guards against a sound part that is held back alone as it has only come with the deadly one so far, and a deadly one
+// Guards against a sound part that is held back alone as it has only come with the crashing one so far, and a crashing one
 // that is not once they come apart.
 func TestPartsThatCameTogetherAreToldApart(t *testing.T) {
-	for name, deadlyFirst := range map[string]bool{"deadly part first": true, "deadly part last": false} {
+	for name, crashingFirst := range map[string]bool{"crashing part first": true, "crashing part last": false} {
 		t.Run(name, func(t *testing.T) {
-			p, both := newPartPlay(), []string{"sound", "deadly"}
-			if deadlyFirst {
+			p, both := newPartPlay(), []string{"sound", "crashing"}
+			if crashingFirst {
 				slices.Reverse(both)
 			}
 			for range 4 {
@@ -132,10 +132,10 @@
 			p.pass(2 * time.Second)
 			assert.True(t, p.held(both...))
 			assert.False(t, p.held("sound"))
-			assert.False(t, p.held("other", "deadly"))
-			p.crash([]string{"other", "deadly"})
+			assert.False(t, p.held("other", "crashing"))
+			p.crash([]string{"other", "crashing"})
 			p.pass(2 * time.Second)
-			assert.True(t, p.held("other", "deadly"))
+			assert.True(t, p.held("other", "crashing"))
 			assert.False(t, p.held("other", "sound"))
 		})
 	}
@@ -145,47 +145,47 @@
 func TestASurvivedPartIsHeldBackNoLonger(t *testing.T) {
 	p := newPartPlay()
 	for range 4 {
-		p.crash([]string{"first", "deadly"})
+		p.crash([]string{"first", "crashing"})
 		p.pass(300 * time.Millisecond)
 		p.survives("first")
 	}
 	p.pass(2 * time.Second)
-	assert.True(t, p.held("deadly"))
-	v, _ := p.Held(p.now, partOf("deadly"))
-	p.survives("deadly")
-	assert.False(t, p.held("deadly"))
+	assert.True(t, p.held("crashing"))
+	v, _ := p.Held(p.now, partOf("crashing"))
+	p.survives("crashing")
+	assert.False(t, p.held("crashing"))
 
 	var other crash.Ledger // has seen none of the crashes
 	other.Merge(p.now, v)
 	now := p.now.Add(10 * time.Minute) // of the trial
-	_, ended := other.Survived(now, crash.Survival{Parts: partsOf("deadly"), Age: crash.SurvivalTime})
-	assert.Equal(t, partsOf("deadly"), ended)
-	_, held := other.HeldRequest(now, printOf(-1), partsOf("deadly"))
+	_, ended := other.Survived(now, crash.Survival{Parts: partsOf("crashing"), Age: crash.SurvivalTime})
+	assert.Equal(t, partsOf("crashing"), ended)
+	_, held := other.HeldRequest(now, printOf(-1), partsOf("crashing"))
 	assert.False(t, held)
 }
 
 // Guards against a verdict that comes back with the message of a daemon that did not know of its end yet.
 func TestAnEndedVerdictDoesNotComeBack(t *testing.T) {
 	p := newPartPlay()
-	deadly := func() {
+	crashing := func() {
 		for range 4 {
-			p.crash([]string{"first", "deadly"})
+			p.crash([]string{"first", "crashing"})
 			p.pass(300 * time.Millisecond)
 			p.survives("first")
 		}
 		p.pass(2 * time.Second)
 	}
-	deadly()
-	v, _ := p.Held(p.now, partOf("deadly"))
-	p.survives("deadly")
+	crashing()
+	v, _ := p.Held(p.now, partOf("crashing"))
+	p.survives("crashing")
 	assert.True(t, p.Merge(p.now, v), "it has ended")
-	assert.False(t, p.held("deadly"))
+	assert.False(t, p.held("crashing"))
 	p.pass(time.Second)
-	deadly()
-	again, _ := p.Held(p.now, partOf("deadly"))
+	crashing()
+	again, _ := p.Held(p.now, partOf("crashing"))
 	var other crash.Ledger
 	other.Merge(p.now, v)
-	other.End(p.now.Add(-3*time.Second), partsOf("deadly"))
+	other.End(p.now.Add(-3*time.Second), partsOf("crashing"))
 	assert.False(t, other.Merge(p.now, again), "a later verdict")
 }
 
--- a/entry/crashpart_test.go
+++ b/entry/crashpart_test.go
@@ -20,21 +20,21 @@
 )
 
 const (
-	deadlyPart = "dead0001"
-	// minSoundShare is the least share of sound streams that are whole once a deadly part is held back.
+	crashingPart = "dead0001"
+	// minSoundShare is the least share of sound streams that are whole once a crashing part is held back.
 	minSoundShare = 0.9
-	// partsHeldAfter is the time after the fifth crash from which at most maxSends requests with a deadly part are sent
+	// partsHeldAfter is the time after the fifth crash from which at most maxSends requests with a crashing part are sent
 	// to endpoints.
 	partsHeldAfter = 3 * time.Second
 	// restartTime is how long after its crash an endpoint is back.
 	restartTime = 2500 * time.Millisecond
 )
 
-// partWorld is a world of engines that crash as they begin to answer a prompt with a deadly part, and are back later.
+// partWorld is a world of engines that crash as they begin to answer a prompt with a crashing part, and are back later.
 type partWorld struct {
 	*world
 	mu      sync.Mutex
-	spared  bool // no part is deadly yet
+	spared  bool // no part crashes engines yet
 	crashes []time.Time
 	starts  int
 	every   []*standin.Runner
@@ -52,7 +52,7 @@
 	r, err := standin.NewRunner(w.net, runnerHost+"0", id, 12, 20*time.Millisecond)
 	require.NoError(w.t, err)
 	if !w.spared {
-		r.SetFault(standin.RunnerFault{CrashPart: deadlyPart})
+		r.SetFault(standin.RunnerFault{CrashPart: crashingPart})
 	}
 	r.OnCrash = func() {
 		w.mu.Lock()
@@ -66,13 +66,13 @@
 	w.store.Put(platform.RunnerTable, "", id, r.Entry(engines, "a", "ready"))
 }
 
-// arm makes the deadly part deadly.
+// arm makes the crashing part crashing.
 func (w *partWorld) arm() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.spared = false
 	for _, r := range w.every {
-		r.SetFault(standin.RunnerFault{CrashPart: deadlyPart})
+		r.SetFault(standin.RunnerFault{CrashPart: crashingPart})
 	}
 }
 
@@ -94,25 +94,25 @@
 	answer
 }
 
-// partLoad is a load of sound streams, and of others with a deadly part among them from a time on.
+// partLoad is a load of sound streams, and of others with a crashing part among them from a time on.
 type partLoad struct {
 	daemons   int
-	before    time.Duration      // until the first deadly prompt
-	span      time.Duration      // in which deadly prompts come
-	perSecond float64            // deadly prompts
-	deadly    func() []string    // the shared parts of a deadly prompt
+	before    time.Duration      // until the first crashing prompt
+	span      time.Duration      // in which crashing prompts come
+	perSecond float64            // crashing prompts
+	crashing  func() []string    // the shared parts of a crashing prompt
 	sound     func() []string    // the shared parts of a sound one
-	meanwhile func(w *partWorld) // begins with the first deadly prompt; may be nil
+	meanwhile func(w *partWorld) // begins with the first crashing prompt; may be nil
 	prepare   func(w *world)     // may be nil
-	turns     bool               // deadly prompts come from the start on, and become deadly after before
+	turns     bool               // prompts with the part come from the start on, and crash engines after before
 }
 
 // partOutcome is the outcome of a partLoad.
 type partOutcome struct {
-	crashes, late int // crashes; deadly prompts that reached endpoints later than partsHeldAfter after the fifth
+	crashes, late int // crashes; crashing prompts that reached endpoints later than partsHeldAfter after the fifth
 	sound         []soundResult
 	fifth         time.Time
-	began         time.Time // first deadly prompt
+	began         time.Time // first crashing prompt
 }
 
 const soundPerSecond = 50
@@ -160,14 +160,14 @@
 				time.Sleep(time.Second / soundPerSecond)
 			}
 		})
-		deadly := func(until time.Duration) {
+		crashing := func(until time.Duration) {
 			for time.Since(began) < until {
-				wg.Go(func() { ask(p.deadly()) })
+				wg.Go(func() { ask(p.crashing()) })
 				time.Sleep(time.Duration(float64(time.Second) / p.perSecond))
 			}
 		}
 		if p.turns {
-			deadly(p.before)
+			crashing(p.before)
 		}
 		time.Sleep(p.before - time.Since(began))
 		out.began = time.Now()
@@ -175,7 +175,7 @@
 		if p.meanwhile != nil {
 			wg.Go(func() { p.meanwhile(pw) })
 		}
-		deadly(p.before + p.span)
+		crashing(p.before + p.span)
 		wg.Wait()
 		time.Sleep(restartTime + time.Second)
 		out.count(pw)
@@ -186,7 +186,7 @@
 	return out
 }
 
-// count counts the crashes, and the deadly prompts that reached endpoints too late.
+// count counts the crashes, and the crashing prompts that reached endpoints too late.
 func (o *partOutcome) count(w *partWorld) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -197,7 +197,7 @@
 	o.fifth = w.crashes[4]
 	for _, r := range w.every {
 		for _, ran := range r.Ran() {
-			if strings.Contains(ran.Header.Get("Streambend-Prompt-Prefix"), deadlyPart+":") && ran.At.After(o.fifth.Add(partsHeldAfter)) {
+			if strings.Contains(ran.Header.Get("Streambend-Prompt-Prefix"), crashingPart+":") && ran.At.After(o.fifth.Add(partsHeldAfter)) {
 				o.late++
 			}
 		}
@@ -217,7 +217,7 @@
 	return whole, all
 }
 
-// check checks that deadly prompts are held back, and that sound ones are served.
+// check checks that crashing prompts are held back, and that sound ones are served.
 func (o *partOutcome) check(t *testing.T, firstPart string) {
 	t.Helper()
 	after := o.fifth.Add(2 * partsHeldAfter)
@@ -252,31 +252,31 @@
 		return []string{other, subject("dd")}
 	}
 	for name, p := range map[string]partLoad{
-		"first":              {daemons: 9, perSecond: 4.5, deadly: func() []string { return []string{deadlyPart, subject("cc")} }},
-		"second":             {daemons: 9, perSecond: 4.5, deadly: func() []string { return []string{first, deadlyPart} }},
-		"third, many":        {daemons: 4, perSecond: 10, deadly: func() []string { return []string{first, subject("cc"), deadlyPart} }},
-		"second, few":        {daemons: 9, perSecond: 1.3, deadly: func() []string { return []string{first, deadlyPart} }},
-		"with one companion": {daemons: 9, perSecond: 4.5, deadly: func() []string { return []string{first, deadlyPart, "eeee0001"} }},
-		"daemons are killed": {daemons: 9, perSecond: 4.5, deadly: func() []string { return []string{first, deadlyPart} }, meanwhile: func(w *partWorld) {
+		"first":              {daemons: 9, perSecond: 4.5, crashing: func() []string { return []string{crashingPart, subject("cc")} }},
+		"second":             {daemons: 9, perSecond: 4.5, crashing: func() []string { return []string{first, crashingPart} }},
+		"third, many":        {daemons: 4, perSecond: 10, crashing: func() []string { return []string{first, subject("cc"), crashingPart} }},
+		"second, few":        {daemons: 9, perSecond: 1.3, crashing: func() []string { return []string{first, crashingPart} }},
+		"with one companion": {daemons: 9, perSecond: 4.5, crashing: func() []string { return []string{first, crashingPart, "eeee0001"} }},
+		"daemons are killed": {daemons: 9, perSecond: 4.5, crashing: func() []string { return []string{first, crashingPart} }, meanwhile: func(w *partWorld) {
 			time.Sleep(2 * time.Second)
 			w.killEach(time.Second, 0, 1, 2, 3, 4, 5, 6, 7, 8)
 		}},
-		"all daemons are killed": {daemons: 9, perSecond: 4.5, deadly: func() []string { return []string{first, deadlyPart} }, meanwhile: func(w *partWorld) {
+		"all daemons are killed": {daemons: 9, perSecond: 4.5, crashing: func() []string { return []string{first, crashingPart} }, meanwhile: func(w *partWorld) {
 			time.Sleep(5 * time.Second)
 			w.killEach(0, 0, 1, 2, 3, 4, 5, 6, 7, 8)
 		}},
-		"daemons are killed again and again": {daemons: 9, perSecond: 9, deadly: func() []string { return []string{first, deadlyPart} }, meanwhile: func(w *partWorld) {
+		"daemons are killed again and again": {daemons: 9, perSecond: 9, crashing: func() []string { return []string{first, crashingPart} }, meanwhile: func(w *partWorld) {
 			time.Sleep(5 * time.Second)
 			for range 3 {
 				w.killEach(330*time.Millisecond, 0, 1, 2, 3, 4, 5, 6, 7, 8)
 			}
 		}},
-		"answered before": {daemons: 9, perSecond: 4.5, deadly: func() []string { return []string{first, deadlyPart, subject("ff")} }, turns: true},
-		"a sound part that only came with it": {daemons: 9, perSecond: 4.5, deadly: func() []string { return []string{first, deadlyPart, "eeee0001"} }, meanwhile: func(*partWorld) {
+		"answered before": {daemons: 9, perSecond: 4.5, crashing: func() []string { return []string{first, crashingPart, subject("ff")} }, turns: true},
+		"a sound part that only came with it": {daemons: 9, perSecond: 4.5, crashing: func() []string { return []string{first, crashingPart, "eeee0001"} }, meanwhile: func(*partWorld) {
 			time.Sleep(6 * time.Second)
 			companion.Store(true)
 		}},
-		"40 daemons": {daemons: 40, perSecond: 4.5, deadly: func() []string { return []string{first, deadlyPart} }, prepare: func(w *world) { w.zones = []string{"a", "b", "c", "d"} }},
+		"40 daemons": {daemons: 40, perSecond: 4.5, crashing: func() []string { return []string{first, crashingPart} }, prepare: func(w *world) { w.zones = []string{"a", "b", "c", "d"} }},
 	} {
 		t.Run(name, func(t *testing.T) {
 			p.before, p.span, p.sound = 4*time.Second, 16*time.Second, sound
@@ -292,7 +292,7 @@
 func TestSoundPartsAreServedWhileEndpointsEndForAnotherCause(t *testing.T) {
 	p := partLoad{daemons: 9, before: 4 * time.Second, span: 12 * time.Second, perSecond: 4.5}
 	p.sound = oneOf([]string{"aaaa0001", "cccc0001"}, []string{"aaaa0001", "cccc0002"}, []string{"bbbb0001", "abcd0001"})
-	p.deadly = p.sound
+	p.crashing = p.sound
 	p.meanwhile = func(w *partWorld) {
 		for i := range 24 {
 			w.every[i].Close()
