--- a/entry/crashpart_test.go
+++ b/entry/crashpart_test.go
@@ -66,7 +66,7 @@
 	w.store.Put(platform.RunnerTable, "", id, r.Entry(engines, "a", "ready"))
 }
 
-// arm makes the crashing part crashing.
+// arm lets the engines crash on the part.
 func (w *partWorld) arm() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/entry/streamcaller_test.go
+++ b/entry/streamcaller_test.go
@@ -151,7 +151,10 @@
 
 // kill ends a daemon at once.
 func (w *world) kill(i int) {
-	w.cancels[i]()
+	w.mu.Lock()
+	cancel := w.cancels[i]
+	w.mu.Unlock()
+	cancel()
 	w.daemons[i].Kill()
 }
 
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -31,6 +32,7 @@
 	store         *standin.Rows
 	api           *standin.DutyAPI
 	daemons       []*entry.Daemon
+	mu            sync.Mutex // protects cancels, as daemons may be killed and started concurrently
 	cancels       []context.CancelFunc
 	runners       []*standin.Runner
 	client        *http.Client
@@ -178,7 +180,9 @@
 func (w *world) startNamed(name string, i int) *entry.Daemon {
 	site := w.site(name, i)
 	ctx, cancel := context.WithCancel(w.t.Context())
+	w.mu.Lock()
 	w.cancels = append(w.cancels, cancel)
+	w.mu.Unlock()
 	n := seam.Network(w.net)
 	if w.links != nil {
 		w.links[name] = standin.NewLink(w.rateOf(i))
