--- a/budget/ledger.go
+++ b/budget/ledger.go
@@ -22,8 +22,8 @@
 	// reserved for streams whose endpoint ends: without it, slow engines during the reclaim of a zone used up all
 	// repeats, and none of 30 interrupted streams was resumed.
 	spareShare = 0.5
-	// maxReports bounds the reports that are held: several starts of each daemon of a full mesh, or of the neighbours
-	// in a larger fleet, at 200 bytes for each service.
+	// maxReports bounds the reports that are held: several starts of each daemon of a full mesh, or of those whose
+	// reports this one holds in a larger fleet, at 200 bytes for each service.
 	maxReports = 256
 )
 
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -3,7 +3,6 @@
 package standin
 
 import (
-	"bufio"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -243,26 +242,6 @@
 	r.respond(w, f, "answer to "+id)
 }
 
-// crash ends the runner, and the request that it serves.
-func (r *Runner) crash() {
-	r.Close()
-	if r.OnCrash != nil {
-		go r.OnCrash()
-	}
-	panic(http.ErrAbortHandler)
-}
-
-// hasPart reports whether a part of a request's prompt, other than the last, has an id.
-func hasPart(q *http.Request, id string) bool {
-	parts := strings.Split(q.Header.Get("Streambend-Prompt-Prefix"), ",")
-	for _, p := range parts[:len(parts)-1] {
-		if name, _, _ := strings.Cut(p, ":"); name == id {
-			return true
-		}
-	}
-	return false
-}
-
 // enter waits for a slot, or reports that there is no room.
 func (r *Runner) enter(f RunnerFault) bool {
 	r.mu.Lock()
@@ -347,18 +326,6 @@
 	}
 }
 
-// hijack writes the head of a response that ends with its connection, and returns what to write the rest to.
-func hijack(w http.ResponseWriter) (net.Conn, *bufio.ReadWriter, error) {
-	c, buf, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return nil, nil, err
-	}
-	fmt.Fprint(buf, "HTTP/1.1 200 OK\r\n")
-	w.Header().Write(buf)
-	fmt.Fprint(buf, "Connection: close\r\n\r\n")
-	return c, buf, nil
-}
-
 // eventsFor returns the number of events in the response to a path.
 func (r *Runner) eventsFor(path string) int {
 	for prefix, n := range r.ByPath {
