entry, request: log and count what is used beyond its bound, and whose reports confirm an outage

No line said that an outage of the store was confirmed, by which reports, or that an endpoint was chosen from a list beyond its bound; nor was the time from a choice to the connection measured. No change of what daemons decide.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -93,6 +93,7 @@
 	readerTurn      ReaderSelector
 	feeds           tallyFeeds
 	outage          Outage
+	outageLog       outageLog
 	fetching        sync.Mutex    // held while the pieces of a catalog are fetched from another daemon
 	fetchingList    sync.Mutex    // the same for the list of endpoints
 	incomingCatalog assembly      // the pieces fetched so far
@@ -123,6 +124,7 @@
 	d.unknown.log = log
 	d.buffers = newBuffers(site)
 	d.contact = newContact(d.began)
+	d.outageLog.d = d
 	d.wall = NewWall(d.began, time.Now())
 	d.site.Store(&site)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
@@ -165,6 +167,7 @@
 	o.NoLimit = true
 	o.RouteWait = defaultRetryAfter
 	o.Listed = d.listed
+	o.OnConnected = d.meters.connected
 	o.Trials = &d.rollouts
 	o.Forwarder = d.forwards
 	o.Permits, o.OnAdvertised = &d.limits, d.words.queue
@@ -243,6 +246,7 @@
 		d.updateCutOff(now)
 		d.contact.noteAlone(now, len(d.Hub.Mesh.Members()) < 2)
 		d.recordOutage(now)
+		d.outageLog.update(now)
 		d.assumeFlow(now)
 		d.updateReady(now)
 	})
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -123,6 +123,9 @@
 	if !s.d.catalogCurrent(now, age) {
 		return code.New(code.Isolated, "the configuration is %s old, and there may be a newer one", age.Round(time.Millisecond)).After(defaultRetryAfter)
 	}
+	if age > s.d.Site().Bounds.Configuration {
+		s.d.meters.stale.Inc(1)
+	}
 	path, _, _ := strings.Cut(target(r), "?")
 	if o.route = c.Match(r.Host, path); o.route == nil {
 		if age > staleRoute {
--- a/entry/meters.go
+++ b/entry/meters.go
@@ -24,6 +24,9 @@
 	whole    metrics.Histogram // milliseconds from arrival to end, of complete answers
 	first    metrics.Histogram // milliseconds from sending an attempt to its first event
 	asked    metrics.Histogram // milliseconds until another daemon answers a question
+	connect  metrics.Histogram // milliseconds from the choice of an endpoint until a connection to it is ready
+	stale    metrics.Counter   // requests admitted with a configuration beyond its bound
+	outages  metrics.Counter   // outages of the store that were confirmed
 	off      metrics.Histogram // first minus the time predicted by the engine model, in milliseconds
 }
 
@@ -39,6 +42,9 @@
 	m.first = m.histogram("answers.first_ms")
 	m.off = m.histogram("answers.first_off_ms")
 	m.asked = m.histogram("peers.answer_ms")
+	m.connect = m.histogram("attempts.connect_ms")
+	m.stale = metrics.GetOrRegisterCounter("requests.catalog_beyond_bound", m.registry)
+	m.outages = metrics.GetOrRegisterCounter("outages.confirmed", m.registry)
 	return m
 }
 
@@ -59,6 +65,9 @@
 	m.off.Update((first - expected).Milliseconds())
 }
 
+// connected records the time from the choice of an endpoint until a connection to it was ready.
+func (m *meters) connected(took time.Duration) { m.connect.Update(took.Milliseconds()) }
+
 // refused counts an error by its code.
 func (m *meters) refused(c code.Code) {
 	metrics.GetOrRegisterCounter("errors."+c.Entry().Name, m.registry).Inc(1)
@@ -115,9 +124,10 @@
 		"attempts.cut_off": c.CutOff.Load,
 		"dials.opened":     d.Server.Client.Dials.Opened.Load, "dials.failed": d.Server.Client.Dials.Failed.Load,
 		"paths.lost": func() int64 { return int64(d.forwards.paths.LostServices()) }, "attempts.forwarded": c.Forwarded.Load,
-		"requests.taken_over": d.forwards.takenOver.Load,
-		"endpoints.ejected":   func() int64 { return int64(d.Server.Works.Ejected()) },
-		"plain.by_report":     c.PlainByReport.Load, "plain.by_mean": c.PlainByMean.Load, "plain.by_counts": c.PlainByCounts.Load,
+		"requests.list_beyond_bound": c.Unbound.Load,
+		"requests.taken_over":        d.forwards.takenOver.Load,
+		"endpoints.ejected":          func() int64 { return int64(d.Server.Works.Ejected()) },
+		"plain.by_report":            c.PlainByReport.Load, "plain.by_mean": c.PlainByMean.Load, "plain.by_counts": c.PlainByCounts.Load,
 		"second_runs.limited":    func() int64 { return int64(d.secondRuns.limit.Services()) },
 		"endpoints.ended":        d.Server.Holds.Ended.Load,
 		"requests.held_back":     func() int64 { return int64(len(d.Server.Holds.Ledger.Verdicts(clock.Now()))) },
--- a/entry/outage.go
+++ b/entry/outage.go
@@ -4,7 +4,9 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -96,6 +98,25 @@
 	return failing && asked >= need
 }
 
+// Describe returns the recent reports for a log line: each daemon with its outcome, and the age of what it holds.
+func (o *Outage) Describe(now time.Time, of ReportTime) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var out []string
+	for name, w := range o.reports {
+		if now.Sub(w.Asked) > reportTTL {
+			continue
+		}
+		held := "unknown age"
+		if at := of(w); !at.IsZero() {
+			held = now.Sub(at).Round(time.Millisecond).String()
+		}
+		out = append(out, fmt.Sprintf("%s %s %s", name, w.Reader, held))
+	}
+	slices.Sort(out)
+	return strings.Join(out, ", ")
+}
+
 // Witnesses returns the daemons to query for whether the store fails for all: first the readers that self
 // queries anyway, then others in an order that differs between daemons.
 func Witnesses(self conn.Member, members []conn.Member) []string {
--- /dev/null
+++ b/entry/outagelog.go
@@ -0,0 +1,39 @@
+// SPDX-License-Identifier: MIT
+
+package entry
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// outageLog logs when data of this daemon begins and ceases to be used beyond its bound, with the reports that decided
+// it, and counts it.
+type outageLog struct {
+	d    *Daemon
+	used [2]bool // the catalog, the list of endpoints
+}
+
+// update compares the present state with that of the last call.
+func (l *outageLog) update(now time.Time) {
+	d := l.d
+	l.record(now, 0, "catalog", &d.catalog.fresh, CatalogTime, d.Site().Bounds.Configuration)
+	l.record(now, 1, "endpoints", &d.runners.fresh, ListTime, d.listBound())
+}
+
+func (l *outageLog) record(now time.Time, table int, name string, held *Freshness, of ReportTime, bound time.Duration) {
+	age, known := held.Age(now)
+	used := known && age > bound && l.d.outageFor(now, held, of, bound)
+	if l.used[table] == used {
+		return
+	}
+	l.used[table] = used
+	if used {
+		l.d.meters.outages.Inc(1)
+	}
+	l.d.log.WithFields(logrus.Fields{
+		"part": "outage", "table": name, "confirmed": used, "age_ms": age.Milliseconds(), "bound_ms": bound.Milliseconds(),
+		"failing_feeds": l.d.failingFeeds.Load(), "reports": l.d.outage.Describe(now, of),
+	}).Warn("outage of the store confirmed or ended: the bound on the age of what is held is lifted or holds again")
+}
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -284,6 +284,9 @@
 func (k *endpointTracker) storeFailed(now time.Time) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if !k.storeDown {
+		k.d.log.WithField("part", "endpoints").Warn("store fails for all: missing entries are kept for a while")
+	}
 	k.failedAt, k.storeDown = now, true
 }
 
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -91,13 +91,16 @@
 		c, ok := Choice{}, false
 		if listed {
 			c, ok = r.chooseEndpoint(now)
-			c.SendBy = current
+			c.SendBy, c.Unbound = current, current.IsZero() && r.opts.Listed != nil
 		}
 		if err := r.overloaded(c); ok && err != nil {
 			return Choice{}, err
 		}
 		if ok && r.permit(ctx, &c) {
 			r.logChoice(now, c)
+			if c.Unbound {
+				r.Count.Unbound.Add(1)
+			}
 			if !r.req.IsModel() {
 				r.Count.countPlain(c.Why)
 			}
--- a/request/counters.go
+++ b/request/counters.go
@@ -18,6 +18,7 @@
 	CutOff   atomic.Int64 // attempts whose endpoint closed the connection
 
 	Forwarded atomic.Int64 // attempts through other daemons
+	Unbound   atomic.Int64 // endpoints chosen from a list beyond its bound
 
 	PlainByReport atomic.Int64 // plain calls routed by a fresh load report
 	PlainByMean   atomic.Int64 // plain calls routed by the mean load of endpoints
--- a/request/forward.go
+++ b/request/forward.go
@@ -199,8 +199,12 @@
 	}
 }
 
-// recordOpened reports a connection to an endpoint to the Forwarder, unless it was open before.
-func (r *run) recordOpened(t *Target, reused bool) {
+// recordConnected reports that a connection to an endpoint, chosen at chosen, is ready, and to the Forwarder unless it
+// was open before.
+func (r *run) recordConnected(t *Target, chosen time.Time, reused bool) {
+	if r.opts.OnConnected != nil {
+		r.opts.OnConnected(r.Now().Sub(chosen))
+	}
 	if f := r.opts.Forwarder; f != nil && !reused {
 		f.Opened(r.Now(), t)
 	}
--- a/request/relay.go
+++ b/request/relay.go
@@ -137,12 +137,13 @@
 	old := r.startListTimer(c, cancel)
 	defer old.Stop()
 	mark := r.recordPrompt(c)
+	chosen := r.started
 	resp, err := r.Client.Forward(ctx, conn.ForwardRequest{
 		Address: c.Target.Address, Method: r.req.Method, Target: r.req.Path, Host: x.Host,
 		Header: x.Codec.Head(Attempt{Endpoint: c.Target.ID, Left: left, Resume: x.headWritten || x.ResumeAfter > 0, After: x.lastEvent}),
 		Body:   r.req.Body, Fresh: r.req.Unrepeatable, Connected: func(reused bool) {
 			old.Stop()
-			r.recordOpened(c.Target, reused)
+			r.recordConnected(c.Target, chosen, reused)
 		},
 	})
 	if err != nil {
--- a/request/requestlog.go
+++ b/request/requestlog.go
@@ -44,6 +44,12 @@
 	} else {
 		f["bound"], f["hit"] = c.Bound, c.Hit
 	}
+	switch {
+	case c.Unbound:
+		f["list_beyond_bound"] = true
+	case !c.SendBy.IsZero():
+		f["send_within_ms"] = c.SendBy.Sub(now).Milliseconds()
+	}
 	if c.Target.Version != "" {
 		f["endpoint_version"] = c.Target.Version
 	}
--- a/request/route.go
+++ b/request/route.go
@@ -55,6 +55,7 @@
 	First    time.Duration // expected time to the first event; 0 if not known
 	Expected time.Duration // expected time of a plain call; 0 if not known
 	SendBy   time.Time     // latest time to send the request; zero for no limit
+	Unbound  bool          // chosen from a list beyond its bound, as the store fails for all
 	release  func()        // releases its place at an endpoint whose room is limited; nil for none
 	Others   [candidateCount]Candidate
 }
