--- /dev/null
+++ b/entry/latelink_test.go
@@ -0,0 +1,54 @@
+// SPDX-License-Identifier: MIT
+
+package entry_test
+
+import (
+	"net"
+	"strings"
+	"sync"
+	"time"
+)
+
+// lateConn is a connection that delivers what is written to it, in order, after a delay.
+type lateConn struct {
+	net.Conn
+	delay func() time.Duration
+
+	mu   sync.Mutex
+	last chan struct{} // closed when the previous write is delivered
+}
+
+// Write implements net.Conn. It returns before the bytes are delivered.
+func (c *lateConn) Write(b []byte) (int, error) {
+	wait := c.delay()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if wait == 0 && c.last == nil {
+		return c.Conn.Write(b)
+	}
+	before, done := c.last, make(chan struct{})
+	c.last = done
+	sent := append([]byte(nil), b...)
+	go func() {
+		defer close(done)
+		time.Sleep(wait)
+		if before != nil {
+			<-before
+		}
+		c.Conn.Write(sent) // a failed delivery shows at the next read
+	}()
+	return len(b), nil
+}
+
+// linkDelay returns the delay of a link that a daemon has opened to an address.
+func (w *world) linkDelay(daemon, address string) time.Duration {
+	late := w.lateLinks.Load()
+	if late == nil {
+		return 0
+	}
+	host, _ := strings.CutPrefix(address, "10.0.0.")
+	if (*late)[daemon] || (*late)["daemon-"+strings.TrimSuffix(host, linkPort)] {
+		return lateLink
+	}
+	return 0
+}
--- a/entry/network_test.go
+++ b/entry/network_test.go
@@ -86,6 +86,9 @@
 	if err == nil && n.w.previous[address] {
 		c = previousConn{c}
 	}
+	if err == nil {
+		c = &lateConn{Conn: c, delay: func() time.Duration { return n.w.linkDelay(n.name, address) }}
+	}
 	return peerLink{c, isIsolated}, err
 }
 
--- a/entry/world_test.go
+++ b/entry/world_test.go
@@ -55,8 +55,9 @@
 	connectDelay  atomic.Int64             // time to open a connection to an endpoint, in nanoseconds
 	dials         atomic.Int64             // connections to endpoints that daemons have tried to open
 	created       time.Time
-	rollOuts      bool                   // the settings bound the exposure of a version that is rolled out
-	isolated      atomic.Pointer[string] // daemon whose links to other daemons alone are cut; nil for none
+	rollOuts      bool                            // the settings bound the exposure of a version that is rolled out
+	isolated      atomic.Pointer[string]          // daemon whose links to other daemons alone are cut; nil for none
+	lateLinks     atomic.Pointer[map[string]bool] // daemons whose links to other daemons are late; nil for none
 	endpointCuts  endpointCuts
 	previous      map[string]bool // addresses for links of daemons that act as a previous version
 	log           worldLog
--- a/internal/standin/rows.go
+++ b/internal/standin/rows.go
@@ -3,6 +3,7 @@
 package standin
 
 import (
+	"cmp"
 	"encoding/json"
 	"io"
 	"maps"
@@ -23,7 +24,8 @@
 	NoResponse      bool                     // never responds
 	Lost            bool                     // executes transactions but never responds to them
 	Delay           time.Duration            // added before each request is executed
-	RejectedDaemons map[string]bool          // callers, by their X-Daemon header, that get 503
+	RejectedDaemons map[string]bool          // callers, by their X-Daemon header, that get RejectStatus
+	RejectStatus    int                      // 0 for 503
 	ResponseDelay   map[string]time.Duration // delay of the response after the execution, by caller
 	Mute            string                   // table whose requests get no response from the callers in Muted
 	Muted           map[string]bool          // callers to which Mute applies
@@ -102,9 +104,12 @@
 	s.notify() // long polls in progress see the new faults
 }
 
-// rejects reports whether a request gets 503; the caller holds the lock.
-func (s *Rows) rejects(r *http.Request) bool {
-	return s.fault.Busy || s.fault.RejectedDaemons[r.Header.Get(daemonHeader)]
+// rejects reports whether a request is rejected, and with which status.
+func (f *RowsFault) rejects(r *http.Request) (status int, ok bool) {
+	if f.RejectedDaemons[r.Header.Get(daemonHeader)] {
+		return cmp.Or(f.RejectStatus, http.StatusServiceUnavailable), true
+	}
+	return http.StatusServiceUnavailable, f.Busy
 }
 
 // Calls returns the number of requests for a path, or for a path and, after a space, a table.
@@ -167,10 +172,9 @@
 		f := s.fault
 		s.calls[r.URL.Path]++
 		s.calls[r.URL.Path+" "+r.URL.Query().Get("table")]++
-		away := s.rejects(r)
 		s.mu.Unlock()
-		if away {
-			w.WriteHeader(http.StatusServiceUnavailable)
+		if status, ok := f.rejects(r); ok {
+			w.WriteHeader(status)
 			return
 		}
 		muted := f.Mute != "" && r.URL.Query().Get("table") == f.Mute && f.Muted[r.Header.Get(daemonHeader)]
@@ -242,12 +246,13 @@
 	for {
 		s.mu.Lock()
 		wake := s.wake
-		gone, away, silent := after < s.truncatedAt, s.rejects(r), s.fault.NoResponse
+		gone, silent := after < s.truncatedAt, s.fault.NoResponse
+		status, away := s.fault.rejects(r)
 		rows := s.changes(q.Get("table"), after)
 		p := s.page(rows)
 		s.mu.Unlock()
 		if away {
-			return http.StatusServiceUnavailable, nil
+			return status, nil
 		}
 		if gone {
 			return http.StatusGone, nil
