entry, outage, platform: silence does not attest an outage of the store

Cause: an outage counted as confirmed when three daemons had been asked, none held younger data and one reported a failure; a daemon that did not answer counted among the three. Daemons that the store turns away and whose readers are silent (their links are full) were each other's witnesses, and the list and the configuration then had no bound. The class: silence taken for a statement.

Package outage decides now. Only answers count: of the readers of all zones that have not ended, more than half must have answered, and three daemons of any kind. A daemon whose address refuses connections has ended and does not count; one that is suspected by the membership still does. A read that is rejected for the rate of all daemons' reads (429) is no outage, and says so in the answers to others, since the store serves whoever used the rate.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -17,6 +17,7 @@
 	"streambend.example/clock"
 	"streambend.example/conn"
 	"streambend.example/mechanism"
+	"streambend.example/outage"
 	"streambend.example/platform"
 	"streambend.example/quota"
 	"streambend.example/request"
@@ -86,13 +87,14 @@
 	stopping        atomic.Bool
 	ready           atomic.Bool
 	failingFeeds    atomic.Int32 // number of store feeds that are failing
+	limitedFeeds    atomic.Int32 // number of those that the store rejects for their rate
 	began           time.Time
 	wall            *Wall
 	contact         contact
 	lastRoster      atomic.Pointer[Roster]
 	readerTurn      ReaderSelector
 	feeds           tallyFeeds
-	outage          Outage
+	reports         outage.Reports
 	outageLog       outageLog
 	fetching        sync.Mutex    // held while the pieces of a catalog are fetched from another daemon
 	fetchingList    sync.Mutex    // the same for the list of endpoints
--- a/entry/feeder.go
+++ b/entry/feeder.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -20,6 +21,9 @@
 	table string
 	wait  func() time.Duration // how long the store may hold a query
 	name  string               // for log lines
+
+	failing bool // the last read failed
+	limited bool // the store rejected it for the rate of all daemons' reads
 }
 
 // run passes each answer to take until ctx ends; whole is true if it holds all rows of the table, false if
@@ -27,7 +31,7 @@
 // version that this daemon has reached through them.
 func (f *feeder) run(ctx context.Context, known func() int64, take func(now, sent time.Time, p platform.Page, whole bool) error) {
 	var at int64
-	whole, up, began := true, true, false
+	whole, began := true, false
 	var pause time.Duration
 	for ctx.Err() == nil {
 		now := clock.Now()
@@ -51,11 +55,7 @@
 		if err == nil {
 			began = whole && at == 0
 			at, whole, pause = p.Version, false, 0
-			if !up {
-				up = true
-				f.d.failingFeeds.Add(-1)
-				f.d.log.WithFields(logrus.Fields{"part": f.name, "version": at}).Info("store regained")
-			}
+			f.recordRead(at, nil)
 			switch {
 			case began:
 				sleep(ctx, settlePause)
@@ -69,10 +69,8 @@
 			f.d.log.WithFields(logrus.Fields{"part": f.name, "version": at}).Info("store no longer has the changes since this version, reading the whole table")
 			continue
 		}
-		if up && ctx.Err() == nil {
-			up = false
-			f.d.failingFeeds.Add(1)
-			f.d.log.WithFields(logrus.Fields{"part": f.name, "version": at}).Warnf("store lost: %v", err)
+		if ctx.Err() == nil {
+			f.recordRead(at, err)
 		}
 		f.d.recordOutage(now)
 		first, last := f.pauses()
@@ -81,6 +79,34 @@
 	}
 }
 
+// recordRead records the outcome of a read; version is the one reached before it.
+func (f *feeder) recordRead(version int64, err error) {
+	setCounted(&f.limited, errors.Is(err, platform.ErrRateLimited), &f.d.limitedFeeds)
+	if !setCounted(&f.failing, err != nil, &f.d.failingFeeds) {
+		return
+	}
+	l := f.d.log.WithFields(logrus.Fields{"part": f.name, "version": version})
+	if err != nil {
+		l.Warnf("store lost: %v", err)
+	} else {
+		l.Info("store regained")
+	}
+}
+
+// setCounted sets a flag, keeps the number of set flags in count, and reports whether the flag has changed.
+func setCounted(flag *bool, set bool, count *atomic.Int32) (changed bool) {
+	if *flag == set {
+		return false
+	}
+	*flag = set
+	if set {
+		count.Add(1)
+	} else {
+		count.Add(-1)
+	}
+	return true
+}
+
 // pauses returns the first and the longest pause after a failed call. In a large fleet the readers retry on
 // behalf of all; the others only check whether they alone are cut off.
 func (f *feeder) pauses() (first, last time.Duration) {
--- a/entry/outage_test.go
+++ b/entry/outage_test.go
@@ -13,6 +13,7 @@
 	"streambend.example/conn"
 	"streambend.example/entry"
 	"streambend.example/internal/standin"
+	"streambend.example/outage"
 	"streambend.example/platform"
 )
 
@@ -76,18 +77,18 @@
 func TestReaderSelectorFailover(t *testing.T) {
 	var selector entry.ReaderSelector
 	assert.Equal(t, 0, selector.Next(3))
-	assert.True(t, selector.Record(0, entry.ReaderFailing))
-	assert.False(t, selector.Record(0, entry.ReaderFailing))
+	assert.True(t, selector.Record(0, outage.Failing))
+	assert.False(t, selector.Record(0, outage.Failing))
 	assert.Equal(t, 1, selector.Failed(), "a repeated failure of one reader counts once")
 	assert.Equal(t, 1, selector.Next(3))
 	for range 9 {
-		assert.False(t, selector.Record(1, entry.ReaderOK))
+		assert.False(t, selector.Record(1, outage.OK))
 	}
 	assert.Equal(t, 1, selector.Next(3), "it answers")
-	assert.True(t, selector.Record(1, entry.ReaderOK))
+	assert.True(t, selector.Record(1, outage.OK))
 	assert.Equal(t, 0, selector.Next(3), "the zone's own reader is tried again")
 	assert.Zero(t, selector.Failed())
-	selector.Record(0, entry.ReaderFailing)
+	selector.Record(0, outage.Failing)
 	assert.Equal(t, 0, selector.Next(1), "the other readers are gone")
 }
 
@@ -179,35 +180,40 @@
 	}
 }
 
-func TestAnOutageIsConfirmedByPeerReports(t *testing.T) {
-	const bound = 2 * time.Second
-	now := time.Now()
-	old, young := now.Add(-3*time.Second), now.Add(-time.Second)
-	var o entry.Outage
-	record := func(name string, r entry.ReaderStatus, after time.Duration, catalog, listed time.Time) {
-		o.Record(name, entry.PeerReport{Reader: r, Asked: now.Add(after), Catalog: catalog, Listed: listed})
+// Daemons that were killed at the start of an outage must not keep the others from confirming it.
+func TestAnOutageIsServedThroughAsDaemonsAreKilled(t *testing.T) {
+	for _, size := range []struct{ daemons, zones int }{{8, 4}, {12, 4}, {48, 6}, {9, 1}} {
+		for _, kill := range []string{"readers", "a third"} {
+			t.Run(fmt.Sprintf("%d daemons, %d zones, %s", size.daemons, size.zones, kill), func(t *testing.T) {
+				inWorldOf(t, size.daemons, func(w *world) {
+					w.zones = []string{"a", "b", "c", "d", "e", "f"}[:size.zones]
+					w.routes[2]["public"] = true
+				}, func(w *world) {
+					w.runner(plain, "a", "i-1", 0)
+					time.Sleep(3 * time.Second)
+					killed := w.zoneReaders()
+					if kill == "a third" {
+						clear(killed)
+						for i := 0; i < size.daemons; i += 3 {
+							killed[w.daemons[i].Self.Name] = true
+						}
+					}
+					w.store.SetFault(standin.RowsFault{NoResponse: true})
+					for _, d := range w.daemons {
+						if killed[d.Self.Name] {
+							go d.Kill()
+						}
+					}
+					served := 0
+					answers := w.demand(w.except(killed), 60, 8*time.Second, w.askPlain)
+					for _, a := range answers {
+						if a.status == http.StatusOK {
+							served++
+						}
+					}
+					assert.GreaterOrEqual(t, float64(served), 0.89*float64(len(answers)), "%d of %d", served, len(answers))
+				})
+			})
+		}
 	}
-	confirmed := func(of entry.ReportTime) bool { return o.Confirmed(now, 2, of, bound) }
-	assert.False(t, confirmed(entry.ListTime), "no report yet")
-	record("a", entry.ReaderFailing, 0, old, old)
-	assert.False(t, confirmed(entry.ListTime), "one report is missing")
-	record("b", entry.ReaderOK, 0, old, young)
-	assert.True(t, confirmed(entry.CatalogTime), "its catalog is as old")
-	assert.False(t, confirmed(entry.ListTime), "the store serves one")
-	record("b", entry.ReaderSilent, time.Millisecond, time.Time{}, time.Time{})
-	assert.False(t, confirmed(entry.ListTime), "no answer does not make its data older")
-	record("b", entry.ReaderFailing, 2*time.Millisecond, old, young)
-	assert.False(t, confirmed(entry.ListTime), "it has younger data from others")
-	record("b", entry.ReaderFailing, 3*time.Millisecond, old, old)
-	assert.True(t, confirmed(entry.ListTime))
-	record("b", entry.ReaderOK, 0, young, young)
-	assert.True(t, confirmed(entry.ListTime), "an answer to an older query")
-	record("c", entry.ReaderOK, 0, young, young)
-	assert.False(t, confirmed(entry.ListTime), "a daemon with younger data disproves it")
-	record("c", entry.ReaderOK, time.Millisecond, old, old)
-	record("a", entry.ReaderSilent, 4*time.Millisecond, time.Time{}, time.Time{})
-	record("b", entry.ReaderSilent, 4*time.Millisecond, time.Time{}, time.Time{})
-	assert.False(t, confirmed(entry.ListTime), "missing answers may be a fault of this daemon's own link")
-	record("a", entry.ReaderFailing, 5*time.Millisecond, old, old)
-	assert.False(t, o.Confirmed(now.Add(bound), 2, entry.ListTime, bound), "reports expire after 1.35 s")
 }
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -10,6 +10,7 @@
 
 	"streambend.example/clock"
 	"streambend.example/conn"
+	"streambend.example/outage"
 	"streambend.example/platform"
 )
 
@@ -65,6 +66,7 @@
 	Known   bool          `codec:"k"`
 	Empty   bool          `codec:"z,omitempty"` // its reads of the store succeed, but there is no configuration yet
 	Failing bool          `codec:"f,omitempty"` // its reads of the store fail
+	Limited bool          `codec:"i,omitempty"` // the store rejects them for the rate of all daemons' reads
 	Age     time.Duration `codec:"a"`           // of the answering daemon's catalog
 	Catalog int64         `codec:"c"`
 	At      int64         `codec:"p"`           // store version up to which that catalog is the newest
@@ -121,17 +123,20 @@
 		}
 		return
 	}
+	reader := ""
 	if readers := d.roster().Asked; len(readers) > 0 {
 		at := d.readerTurn.Next(len(readers))
+		reader = readers[at]
 		d.run(func() {
-			w := d.syncWithPeer(ctx, readers[at])
-			d.recordReader(at, readers[at], w)
-			if w != ReaderOK && w != ReaderEmpty {
-				d.askWitnesses(ctx, readers[at])
+			w := d.syncWithPeer(ctx, reader)
+			d.recordReader(at, reader, w)
+			if w != outage.OK && w != outage.Empty {
+				d.askWitnesses(ctx, reader)
 			}
 		})
-	} else {
-		d.askWitnesses(ctx, "")
+	}
+	if reader == "" || old && d.failingFeeds.Load() > 0 {
+		d.askWitnesses(ctx, reader) // without a wait for a reader that may not answer
 	}
 	others := d.others()
 	if !old || len(others) == 0 {
@@ -144,26 +149,16 @@
 	d.run(func() { d.syncWithPeer(ctx, m.Name) })
 }
 
-// askWitnesses queries at once, but for one daemon that was just queried, those that can confirm whether the
-// store fails for all.
-func (d *Daemon) askWitnesses(ctx context.Context, but string) {
-	for _, name := range d.roster().Witness {
-		if name != but {
-			d.run(func() { d.syncWithPeer(ctx, name) })
-		}
-	}
-}
-
 // recordReader records the outcome of a query to a reader. A reader whose reads fail proves nothing about
 // expired entries, since the readers themselves may be cut off; once all fail, this daemon reads the store
 // and finds out. A reader whose reads succeed ends an outage that this daemon has recorded.
-func (d *Daemon) recordReader(at int, name string, w ReaderStatus) {
+func (d *Daemon) recordReader(at int, name string, w outage.Status) {
 	if d.readerTurn.Record(at, w) {
 		d.log.WithFields(logrus.Fields{
 			"part": "peers", "reader": name, "word": w.String(), "failed_in_a_row": d.readerTurn.Failed(),
 		}).Info("another reader is asked from now on")
 	}
-	if w == ReaderOK {
+	if w == outage.OK {
 		d.runners.storeRecovered(clock.Now())
 	}
 }
@@ -171,13 +166,13 @@
 // syncWithPeer queries one daemon and returns the state of its reads. If that daemon has more of a newer
 // catalog or of the list of endpoints, syncWithPeer fetches it piece by piece, from one daemon at a time, as a
 // link has room for one catalog.
-func (d *Daemon) syncWithPeer(ctx context.Context, name string) ReaderStatus {
+func (d *Daemon) syncWithPeer(ctx context.Context, name string) outage.Status {
 	fetch, list := false, false
 	for {
 		w, moreCatalog, moreList := d.queryPeer(ctx, name, fetch)
-		d.outage.Record(name, w)
+		d.reports.Record(name, w)
 		if ctx.Err() != nil {
-			return w.Reader
+			return w.Status
 		}
 		if moreCatalog && !fetch && d.fetching.TryLock() {
 			defer d.fetching.Unlock()
@@ -188,14 +183,14 @@
 			list = true
 		}
 		if !(moreCatalog && fetch) && !(moreList && list) {
-			return w.Reader
+			return w.Status
 		}
 	}
 }
 
 // queryPeer sends one query to a daemon and applies its answer. It returns the outcome, and whether the daemon
 // has more of a newer catalog and of the list of endpoints.
-func (d *Daemon) queryPeer(ctx context.Context, name string, fetch bool) (w PeerReport, moreCatalog, moreList bool) {
+func (d *Daemon) queryPeer(ctx context.Context, name string, fetch bool) (w outage.Report, moreCatalog, moreList bool) {
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
 	q := freshQuery{Runners: d.runners.current(), Fetch: fetch, Got: d.incomingCatalog.progress(), List: d.runners.query(clock.Now(), name)}
@@ -211,9 +206,12 @@
 		q.Tally = &t
 	}
 	sent := clock.Now()
-	w = PeerReport{Reader: ReaderSilent, Asked: sent}
+	w = outage.Report{Asked: sent}
 	b, err := d.Hub.Ask(ctx, name, askFresh, conn.Marshal(q))
 	d.logAnswer(name, clock.Since(sent), len(b), err)
+	if conn.Refused(err) {
+		w.Status = outage.Absent
+	}
 	if err != nil {
 		return w, false, false // the next round queries it again, or another daemon
 	}
@@ -240,20 +238,31 @@
 		}
 		d.chargeAll(clock.Now(), d.flow.Take(clock.Now(), a.Source, a.Flow))
 	}
+	w.Status = a.status()
 	if a.Known {
 		w.Catalog, w.Listed = sent.Add(-a.Age), sent.Add(-a.Listed)
-		w.Reader = ReaderOK // else it has just started
 	}
 	if a.Empty {
-		w.Reader = ReaderEmpty
 		d.contact.recordEmpty(clock.Now())
 	}
-	if a.Failing {
-		w.Reader = ReaderFailing
-	}
 	return w, moreCatalog, moreList
 }
 
+// status returns what the answering daemon says of its reads of the store.
+func (a *freshReply) status() outage.Status {
+	switch {
+	case a.Limited:
+		return outage.Limited
+	case a.Failing:
+		return outage.Failing
+	case a.Empty:
+		return outage.Empty
+	case a.Known:
+		return outage.OK
+	}
+	return outage.Starting
+}
+
 // reportDayAfter is how long after its start a daemon reports the time of day to others: by then it has
 // received it from one that has run for longer, or there is none.
 const reportDayAfter = 10 * time.Second
@@ -358,6 +367,7 @@
 		a.Empty = f == nil && d.catalog.empty(now)
 		return conn.Marshal(a), nil
 	}
+	a.Limited = d.limitedFeeds.Load() > 0
 	a.Known, a.Failing, a.Age, a.Listed, a.Catalog = true, d.failingFeeds.Load() > 0, age, listed, f.catalog.Version
 	a.Orders = d.rollouts.reports(now, true)
 	a.Fetched = q.Fetch
--- a/entry/readers.go
+++ b/entry/readers.go
@@ -10,25 +10,48 @@
 	"github.com/cespare/xxhash/v2"
 
 	"streambend.example/conn"
+	"streambend.example/outage"
 	"streambend.example/reach"
 )
 
 // Reader returns the daemon that reads the store for the others of a zone, or false if the zone has none. It
 // is the one with the most processor time, since all others of the zone query it several times a second; ties
 // are decided by a hash of the name.
-func Reader(zone string, members []conn.Member) (conn.Member, bool) {
-	var best conn.Member
-	var most uint64
+func Reader(zone string, members []conn.Member) (best conn.Member, ok bool) {
 	for _, m := range members {
-		if m.Zone != zone || m.State != conn.MemberAlive {
-			continue
+		if m.Zone == zone && m.State == conn.MemberAlive && (!ok || readsBefore(m, best)) {
+			best, ok = m, true
+		}
+	}
+	return best, ok
+}
+
+// readsBefore reports whether one of two daemons of a zone reads the store for it rather than the other.
+func readsBefore(a, b conn.Member) bool {
+	if a.Power != b.Power {
+		return a.Power > b.Power
+	}
+	return xxhash.Sum64String(a.Name) > xxhash.Sum64String(b.Name)
+}
+
+// mayRead returns the daemons other than self that may read the store for a zone: the readers, and those that would be
+// readers if they were not suspected of having ended.
+func mayRead(self conn.Member, members []conn.Member) (out []string) {
+	readers := make(map[string]*conn.Member)
+	for _, m := range members {
+		r, known := readers[m.Zone]
+		if !known {
+			if best, ok := Reader(m.Zone, members); ok {
+				r = &best
+			}
+			readers[m.Zone] = r
 		}
-		h := xxhash.Sum64String(m.Name) | 1
-		if most == 0 || m.Power > best.Power || m.Power == best.Power && h > most {
-			best, most = m, h
+		reads := r == nil || m.Name == r.Name || m.State == conn.MemberSuspect && readsBefore(m, *r)
+		if m.Name != self.Name && reads {
+			out = append(out, m.Name)
 		}
 	}
-	return best, most > 0
+	return out
 }
 
 // otherReaders returns the readers of all zones but one.
@@ -67,7 +90,8 @@
 	Known   bool        // the zone has a reader
 	Asked   []string    // result of ReadersFor
 	Beyond  []string    // readers of the other zones
-	Witness []string    // result of Witnesses
+	MayRead []string    // those that may read the store for a zone
+	Others  []string    // the others that are alive, in an order that differs between daemons
 
 	members []conn.Member
 	peers   []reach.Candidate // the other daemons, of those that are alive
@@ -78,15 +102,19 @@
 // daemon among 295.
 func NewRoster(self conn.Member, members []conn.Member) *Roster {
 	r := &Roster{
-		Asked: ReadersFor(self, members), Beyond: otherReaders(self.Zone, members), Witness: Witnesses(self, members),
+		Asked: ReadersFor(self, members), Beyond: otherReaders(self.Zone, members), MayRead: mayRead(self, members),
 		members: members,
 	}
 	r.Reader, r.Known = Reader(self.Zone, members)
 	for _, m := range members {
 		if m.Name != self.Name && m.State == conn.MemberAlive {
+			r.Others = append(r.Others, m.Name)
 			r.peers = append(r.peers, reach.Candidate{Name: m.Name, Zone: m.Zone, Power: m.Power})
 		}
 	}
+	slices.SortFunc(r.Others, func(a, b string) int {
+		return cmp.Compare(xxhash.Sum64String(self.Name+a), xxhash.Sum64String(self.Name+b))
+	})
 	return r
 }
 
@@ -110,20 +138,6 @@
 // reader is queried again.
 const returnAfterAnswers = 10
 
-// ReaderStatus is the outcome of a query to a reader.
-type ReaderStatus int
-
-// Outcomes of a query to a reader.
-const (
-	ReaderSilent  ReaderStatus = iota // no answer
-	ReaderFailing                     // its reads of the store fail
-	ReaderOK                          // its reads of the store succeed
-	ReaderEmpty                       // its reads succeed, but the store holds no configuration yet
-)
-
-// String returns the outcome's name.
-func (w ReaderStatus) String() string { return [...]string{"silent", "failing", "well", "empty"}[w] }
-
 // ReaderSelector selects the reader to query: the same one while its answers are good, then the next. The zero
 // value starts with the first reader.
 type ReaderSelector struct {
@@ -145,16 +159,16 @@
 
 // Record records the outcome of a query to the reader at an index, and reports whether another reader is
 // queried from now on.
-func (t *ReaderSelector) Record(at int, w ReaderStatus) bool {
+func (t *ReaderSelector) Record(at int, w outage.Status) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if at != t.at {
 		return false // a late outcome of a previous reader
 	}
-	if w == ReaderEmpty {
+	if w == outage.Empty {
 		return false // no other reader has more
 	}
-	if w != ReaderOK {
+	if w != outage.OK {
 		t.at++
 		t.fails++
 		t.good = 0
