entry, request: silent daemons do not attest that an endpoint has ended

A daemon that had lost the path to all endpoints of a zone, and got no answer from others in time, took endpoints that refuse its connections for ended: it ejected them, and told all daemons that requests had ended them. The same cause as of false outages: silence was taken for "does not reach it either". Now one that was asked must have said so, unless there is no other daemon.

The test counts 2 endpoints taken for ended with the former decision, 0 now. A lock that was held while others are asked is a channel now, as the test could not wait for it in virtual time.

--- a/entry/forwarding.go
+++ b/entry/forwarding.go
@@ -143,7 +143,7 @@
 
 // confirm asks other daemons whether they reach an endpoint to which connections fail here.
 func (f *forwarder) confirm(q reach.Question) {
-	if f.askReach(f.d.ctx, q.Probe, q.Daemons) && f.paths.Confirmed(clock.Now(), q.Service) {
+	if reached, _ := f.askReach(f.d.ctx, q.Probe, q.Daemons); reached && f.paths.Confirmed(clock.Now(), q.Service) {
 		f.logLost(q.Service, true)
 	}
 }
--- a/entry/pathwitness.go
+++ b/entry/pathwitness.go
@@ -44,11 +44,11 @@
 	last map[string]*zoneView
 }
 
-// zoneView is what others reach of a zone. Its lock is held while they are asked.
+// zoneView is what others said of a zone. Its lock, a place in busy, is held while they are asked.
 type zoneView struct {
-	mu      sync.Mutex
-	reached bool
-	at      time.Time
+	busy        chan struct{}
+	unreachable bool
+	at          time.Time
 }
 
 func (w *pathWitness) zone(name string) *zoneView {
@@ -59,30 +59,33 @@
 	}
 	v := w.last[name]
 	if v == nil {
-		v = &zoneView{}
+		v = &zoneView{busy: make(chan struct{}, 1)}
 		w.last[name] = v
 	}
 	return v
 }
 
-// OthersReach implements request.Forwarder.
-func (f *forwarder) OthersReach(ctx context.Context, t *request.Target) bool {
+// OthersFail implements request.Forwarder.
+func (f *forwarder) OthersFail(ctx context.Context, t *request.Target) bool {
 	v := f.witness.zone(t.Zone)
-	v.mu.Lock()
-	defer v.mu.Unlock()
+	v.busy <- struct{}{}
+	defer func() { <-v.busy }()
 	if clock.Since(v.at) >= witnessTTL {
-		v.reached = f.askReach(ctx, reach.Probe{Service: t.Service, Endpoint: t.ID}, maxWitnesses)
+		reached, answers := f.askReach(ctx, reach.Probe{Service: t.Service, Endpoint: t.ID}, maxWitnesses)
+		v.unreachable = !reached && (answers > 0 || len(f.d.roster().peers) == 0)
 		v.at = clock.Now()
 	}
-	return v.reached
+	return v.unreachable
 }
 
-// askReach asks some other daemons at once whether they reach an endpoint, and reports whether one does.
-func (f *forwarder) askReach(ctx context.Context, p reach.Probe, daemons int) bool {
+// askReach asks some other daemons at once whether they reach an endpoint. It returns whether one does, or else how many
+// have answered.
+func (f *forwarder) askReach(ctx context.Context, p reach.Probe, daemons int) (reached bool, answers int) {
 	ctx, cancel := context.WithTimeout(ctx, witnessTimeout)
 	defer cancel()
 	peers := f.d.roster().peers
-	reached := make(chan bool, daemons)
+	type outcome struct{ answered, reached bool }
+	outcomes := make(chan outcome, daemons)
 	asked := min(daemons, len(peers))
 	for i, at := range rand.Perm(len(peers)) {
 		if i == asked {
@@ -95,15 +98,19 @@
 			if err == nil {
 				err = conn.Unmarshal(b, &a)
 			}
-			reached <- err == nil && a.Reached
+			outcomes <- outcome{err == nil, err == nil && a.Reached}
 		})
 	}
 	for range asked {
-		if <-reached {
-			return true
+		o := <-outcomes
+		if o.reached {
+			return true, answers
+		}
+		if o.answered {
+			answers++
 		}
 	}
-	return false
+	return false, answers
 }
 
 // answerReach answers whether this daemon reaches an endpoint.
--- a/request/enddetector.go
+++ b/request/enddetector.go
@@ -84,8 +84,8 @@
 const maxPathProbes = 3
 
 // hasPath reports whether this daemon has a path to an endpoint that refuses connections: whether it reaches another
-// one, of the same availability zone if there is one, or no other daemon reaches it either. Without a path, connections
-// may be refused although the endpoint has not ended.
+// one, of the same availability zone if there is one, or another daemon says that it does not reach it either. Without a
+// path, connections may be refused although the endpoint has not ended.
 func (x *endDetector) hasPath(ctx context.Context, t *Target) bool {
 	x.recordDial(t, errRefused)
 	others := x.works.otherEndpoints(t, maxPathProbes)
@@ -96,7 +96,7 @@
 			return true
 		}
 	}
-	return x.paths == nil || !x.paths.OthersReach(ctx, t)
+	return x.paths == nil || x.paths.OthersFail(ctx, t)
 }
 
 var errRefused = errors.New("request: endpoint refuses connections")
--- a/request/forward.go
+++ b/request/forward.go
@@ -26,9 +26,9 @@
 	PathLost(service string) bool
 	// Next returns the daemon to send a request of a service through, other than those tried; false if there is none.
 	Next(now time.Time, service string, draw uint64, tried []string) (daemon string, ok bool)
-	// OthersReach asks other daemons whether they reach an endpoint to which this one cannot open a connection, and
-	// reports whether one does.
-	OthersReach(ctx context.Context, t *Target) bool
+	// OthersFail asks other daemons whether they reach an endpoint to which this one cannot open a connection, and
+	// reports whether none of those that answer does; false if there are others and none answers.
+	OthersFail(ctx context.Context, t *Target) bool
 	// Forward sends a request through a daemon. An error is a conn.Failure.
 	Forward(ctx context.Context, daemon string, r *Request, a ForwardAttempt) (ForwardResult, error)
 }
