--- a/entry/outage.go
+++ b/entry/outage.go
@@ -39,7 +39,7 @@
 // store fails for all.
 func (d *Daemon) askWitnesses(ctx context.Context, but string) {
 	r := d.roster()
-	for _, name := range d.reports.ToQuery(clock.Now(), r.MayRead, r.Others) {
+	for _, name := range d.reports.ToQuery(clock.Now(), r.MayRead, r.Shuffled()) {
 		if name != but {
 			d.run(func() { d.syncWithPeer(ctx, name) })
 		}
--- a/entry/readers.go
+++ b/entry/readers.go
@@ -91,10 +91,13 @@
 	Asked   []string    // result of ReadersFor
 	Beyond  []string    // readers of the other zones
 	MayRead []string    // those that may read the store for a zone
-	Others  []string    // the others that are alive, in an order that differs between daemons
 
 	members []conn.Member
 	peers   []reach.Candidate // the other daemons, of those that are alive
+
+	order    sync.Once
+	shuffled []string // result of Shuffled
+	self     string
 }
 
 // NewRoster computes the roster of a daemon. It ranks all members, so callers keep it as long as the members
@@ -103,21 +106,31 @@
 func NewRoster(self conn.Member, members []conn.Member) *Roster {
 	r := &Roster{
 		Asked: ReadersFor(self, members), Beyond: otherReaders(self.Zone, members), MayRead: mayRead(self, members),
-		members: members,
+		members: members, self: self.Name,
 	}
 	r.Reader, r.Known = Reader(self.Zone, members)
 	for _, m := range members {
 		if m.Name != self.Name && m.State == conn.MemberAlive {
-			r.Others = append(r.Others, m.Name)
 			r.peers = append(r.peers, reach.Candidate{Name: m.Name, Zone: m.Zone, Power: m.Power})
 		}
 	}
-	slices.SortFunc(r.Others, func(a, b string) int {
-		return cmp.Compare(xxhash.Sum64String(self.Name+a), xxhash.Sum64String(self.Name+b))
-	})
 	return r
 }
 
+// Shuffled returns the other daemons that are alive, in an order that differs between daemons. They are sorted at the
+// first call, as they are seldom needed.
+func (r *Roster) Shuffled() []string {
+	r.order.Do(func() {
+		for _, p := range r.peers {
+			r.shuffled = append(r.shuffled, p.Name)
+		}
+		slices.SortFunc(r.shuffled, func(a, b string) int {
+			return cmp.Compare(xxhash.Sum64String(r.self+a), xxhash.Sum64String(r.self+b))
+		})
+	})
+	return r.shuffled
+}
+
 // of reports whether the roster was computed from this very slice of members.
 func (r *Roster) of(members []conn.Member) bool {
 	return len(r.members) == len(members) && len(members) > 0 && &r.members[0] == &members[0]
--- a/outage/reports.go
+++ b/outage/reports.go
@@ -50,7 +50,7 @@
 // Fleet is what a daemon knows of the others.
 type Fleet struct {
 	Readers []string // those that may read the store for a zone
-	Others  int      // all others
+	Others  int      // number of other daemons of any kind
 	Fails   bool     // this daemon is a reader itself, and its reads fail
 }
 
