conn, entry: a daemon whose links are cut is not the only one

Callers: a daemon that was cut off from all others for 10 s, and was then rejected by the store (503) while the store served everybody else, sent requests to an endpoint for as long as that lasted after it had said that it leaves: 120 of 120 requests in 6 s at 2, 3 and 12 daemons, where the bound is 2 s. With 24 daemons the test passed before as well.

Cause: isOnlyDaemon took members that are dead by silence for ended, so that a failed read of its own was an outage for all.

Fix: a member has ended if it stopped as planned, or is dead and its address refused the last connection. Both sides of a cut declare each other dead, but only a box without the process refuses. Dials are made anyway: three before a neighbour is suspected, and then one of the dead each 5 s.

Measured: TestADaemonCutOffFromAllOthersKeepsTheBoundOfItsList failed before (120, 120, 120 requests late), 0 after; TestOnlyDaemonServesThroughOutage, where the other was killed, passes as before. A daemon whose others all lost power without a process that refuses no longer serves through an outage of the store beyond the bounds.

--- a/conn/hub.go
+++ b/conn/hub.go
@@ -214,6 +214,7 @@
 	go func() {
 		defer h.wg.Done()
 		err := h.open(m)
+		h.Mesh.RecordDial(m.Name, Refused(err))
 		h.mu.Lock()
 		d.busy = false
 		d.fails++
--- a/conn/member.go
+++ b/conn/member.go
@@ -188,7 +188,8 @@
 
 type memberRecord struct {
 	Member
-	since time.Time // when the record was last updated
+	since   time.Time // when the record was last updated
+	refused bool      // the last dial was refused: no process accepts connections at its address
 }
 
 type neighbour struct {
--- a/conn/mesh.go
+++ b/conn/mesh.go
@@ -100,7 +100,7 @@
 	if k == nil && x.State > MemberSuspect {
 		return false // never known alive here
 	}
-	m.members[x.Name] = &memberRecord{Member: x, since: now}
+	m.members[x.Name] = &memberRecord{Member: x, since: now, refused: k != nil && k.refused && x.State > MemberAlive}
 	if k != nil {
 		m.count(k.Member, -1)
 	}
--- a/conn/suspect.go
+++ b/conn/suspect.go
@@ -18,6 +18,28 @@
 	return nil
 }
 
+// RecordDial records whether a member's address refused the last connection that was tried.
+func (m *Mesh) RecordDial(name string, refused bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if k := m.members[name]; k != nil {
+		k.refused = refused
+	}
+}
+
+// OthersEnded reports whether all other members have ended: they have stopped as planned, or are dead and their
+// addresses refuse connections. A member that is dead by silence alone may be alive behind a cut.
+func (m *Mesh) OthersEnded() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, k := range m.members {
+		if name != m.self.Name && k.State != MemberLeft && !(k.State == MemberDead && k.refused) {
+			return false
+		}
+	}
+	return true
+}
+
 func (m *Mesh) suspect(now time.Time, k *memberRecord) []Send {
 	x := k.Member
 	x.State = MemberSuspect
--- a/entry/outage.go
+++ b/entry/outage.go
@@ -55,14 +55,13 @@
 }
 
 // isOnlyDaemon reports whether there is no other daemon: there never was one, except for some that stopped
-// as planned, or the store has refreshed what is held after all others were gone, so that it is not this
-// daemon's link that keeps them from answering.
+// as planned, or all others have ended and the store has refreshed what is held after that.
 func (d *Daemon) isOnlyDaemon(held *Freshness) bool {
 	if _, known := d.Hub.Mesh.Counts(); known < 2 {
 		return d.Site().First || d.contact.counted.Load()
 	}
 	since := d.contact.aloneSince.Load()
-	return since != nil && held.After(*since)
+	return since != nil && held.After(*since) && d.Hub.Mesh.OthersEnded()
 }
 
 // recordOutage records that the store fails for all; entries of endpoints expire then. A daemon that the store
