--- a/entry/streamcaller_test.go
+++ b/entry/streamcaller_test.go
@@ -153,11 +153,22 @@
 func (w *world) kill(i int) {
 	w.mu.Lock()
 	cancel := w.cancels[i]
+	if w.kills == nil {
+		w.kills = make(map[int]int)
+	}
+	w.kills[i]++
 	w.mu.Unlock()
 	cancel()
 	w.daemons[i].Kill()
 }
 
+// killsOf returns how often a daemon was killed.
+func (w *world) killsOf(i int) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.kills[i]
+}
+
 // takeUps counts the streams of some results.
 type takeUps struct{ all, taken, wentOn, mixed, refused int }
 
