--- a/conn/bench_test.go
+++ b/conn/bench_test.go
@@ -68,3 +68,19 @@
 		})
 	}
 }
+
+// BenchmarkSilent lists the members that are dead by silence while all are alive, as each request does that a daemon
+// handles with data beyond its bound.
+func BenchmarkSilent(b *testing.B) {
+	for _, n := range []int{80, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			m := conn.NewMesh(conn.Member{Name: "self", Start: 1}, conn.DefaultTiming())
+			for i := range n {
+				m.Learn(start, []conn.Member{{Name: fmt.Sprint("n", i), Start: 1}})
+			}
+			for b.Loop() {
+				m.Silent()
+			}
+		})
+	}
+}
