Add review case LOST: a planned stop cuts requests it took after SIGTERM

Three of eight daemons get SIGTERM, one at a time, 1.0 s apart, as in a roll-out of the platform (grace_period_s 8). Six clients send their bodies over 4.8 s and end 4.4 s after SIGTERM; three send whole requests 3.2 s after it, over connections that the platform opened 2.3 s after it. The daemons take all nine, pass each to a runner, and cut the answers 7.7 s after SIGTERM, with 33 to 46 of 76 events missing.

--- a/review/standin/main_test.go
+++ b/review/standin/main_test.go
@@ -20,8 +20,9 @@
 // cases are the programs by name. They get the record, the product's program and a directory for settings and logs, and
 // whether the disruption takes place.
 var cases = map[string]func(rec *record, program, dir string, trouble bool) (int, error){
-	"take-up":     takeUp,
-	"added-route": addedRoute,
+	"take-up":      takeUp,
+	"added-route":  addedRoute,
+	"planned-stop": plannedStop,
 }
 
 func TestMain(*testing.M) { os.Exit(run(os.Args)) }
--- a/review/standin/world_test.go
+++ b/review/standin/world_test.go
@@ -4,7 +4,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -18,6 +20,9 @@
 	"streambend.example/seam"
 )
 
+// restartDelay is after how long the platform starts a process that has ended again.
+const restartDelay = 500 * time.Millisecond
+
 // network is the loopback network of the operating system.
 var network = seam.TCP{}
 
@@ -56,20 +61,31 @@
 	zone    string
 	callers string
 	ready   string
+	control string
 	file    string
 	log     *os.File
 	cmd     *exec.Cmd
 	ended   chan struct{}
 }
 
-// freeAddress returns a loopback address that is free now.
+// Ports are taken from below those that the system gives to outgoing connections.
+const firstPort, ports = 18000, 12000
+
+// nextPort is the port that is tried next.
+var nextPort = rand.IntN(ports)
+
+// freeAddress returns a loopback address that is free now and that it has not returned before.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+	for range ports {
+		nextPort = (nextPort + 1) % ports
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort))
+		if err != nil {
+			continue // in use
+		}
+		defer l.Close()
+		return l.Addr().String(), nil
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", errors.New("no free port")
 }
 
 // newWorld starts the platform's stand-ins.
@@ -104,8 +120,8 @@
 				return err
 			}
 		}
-		d.callers, d.ready = addrs[0], addrs[1]
-		if err := w.writeSettings(d, addrs[2], true); err != nil {
+		d.callers, d.ready, d.control = addrs[0], addrs[1], addrs[2]
+		if err := w.writeSettings(d, true); err != nil {
 			return err
 		}
 		if err := w.start(d, addrs[3]); err != nil {
@@ -117,11 +133,11 @@
 }
 
 // writeSettings writes a daemon's settings, with the bounds of a small deployment.
-func (w *world) writeSettings(d *daemon, control string, first bool) error {
+func (w *world) writeSettings(d *daemon, first bool) error {
 	b, err := json.Marshal(map[string]any{
 		"node_name": d.name, "role": "entry", "machine_class": "frontend", "serves": []string{"frontend", "control_plane"},
 		"ip_address": "127.0.0.1", "zone": d.zone, "region": "bkk",
-		"listen_addresses": map[string]string{"frontend": d.callers, "ready": d.ready, "control_plane": control},
+		"listen_addresses": map[string]string{"frontend": d.callers, "ready": d.ready, "control_plane": d.control},
 		"seed_nodes":       []string{}, "bootstrap": first,
 		"limits":                map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "file_descriptors": 4100, "bandwidth_mbps": 1000.0, "disk_mb": 0},
 		"heartbeat_interval_ms": 1200,
@@ -143,7 +159,7 @@
 
 // start starts a daemon's process with the command of the deploy file.
 func (w *world) start(d *daemon, metrics string) error {
-	out, err := os.Create(filepath.Join(w.dir, d.name+".log"))
+	out, err := os.OpenFile(filepath.Join(w.dir, d.name+".log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
@@ -161,6 +177,20 @@
 	return nil
 }
 
+// restart starts a daemon that has ended again, as the platform does after a short delay.
+func (w *world) restart(d *daemon) error {
+	time.Sleep(restartDelay)
+	d.log.Close()
+	metrics, err := freeAddress()
+	if err != nil {
+		return err
+	}
+	if err := w.writeSettings(d, false); err != nil {
+		return err
+	}
+	return w.start(d, metrics)
+}
+
 // kill ends a daemon at once.
 func (d *daemon) kill() {
 	d.cmd.Process.Signal(syscall.SIGKILL)
