entry, replica: a daemon's copy of the list of endpoints in package replica

Versions, the log of changes, transfers in pieces and the age of the list move from the endpoint tracker to replica.Copy, without network or clock, so that a model can play them in random orders. Invalid entries are told apart by the tracker still, which rejects them when the copy passes them on.

--- a/entry/catalog.go
+++ b/entry/catalog.go
@@ -12,6 +12,7 @@
 	"streambend.example/clock"
 	"streambend.example/mechanism"
 	"streambend.example/platform"
+	"streambend.example/replica"
 	"streambend.example/version"
 )
 
@@ -54,10 +55,10 @@
 // catalogTracker holds the catalog in force, which is the newest one known.
 type catalogTracker struct {
 	d     *Daemon
-	fresh Freshness
+	fresh replica.Freshness
 	cur   atomic.Pointer[inForce]
-	at    atomic.Int64 // store version up to which the catalog in force is the newest
-	none  Freshness    // when the store was last known to hold no catalog
+	at    atomic.Int64      // store version up to which the catalog in force is the newest
+	none  replica.Freshness // when the store was last known to hold no catalog
 }
 
 // readTo records that the catalog in force is the newest up to a store version. If this daemon starts
--- a/entry/doc.go
+++ b/entry/doc.go
@@ -12,6 +12,6 @@
 //	<-ctx.Done()
 //	d.Stop(context.Background())
 //
-// The decision logic (Freshness, Quota, Tallies, capacity.Plan) takes the present time as an argument
+// The decision logic (Quota, Tallies, capacity.Plan) takes the present time as an argument
 // and does no input or output.
 package entry
--- a/entry/listtransfer.go
+++ b/entry/listtransfer.go
@@ -8,7 +8,6 @@
 	"github.com/pkg/errors"
 
 	"streambend.example/conn"
-	"streambend.example/platform"
 	"streambend.example/replica"
 )
 
@@ -53,29 +52,12 @@
 	Rows   []byte         `codec:"r"`           // encoded entryRows
 }
 
-// listTransfer is the progress of a copy from another daemon.
-type listTransfer struct {
-	peer string // the daemon
-	log  string // its process
-	base int64  // store version of this daemon's list when it started
-	next replica.Cursor
-	at   time.Time // when the last piece arrived
-	seen map[string]bool
-}
-
-// query returns what to request from a daemon: the next piece of the transfer in progress, nothing if that is
-// with another daemon, or else the changes.
+// query returns what to request from a daemon.
 func (k *endpointTracker) query(now time.Time, peer string) *listQuery {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	x := k.transfer
-	switch {
-	case x == nil || x.base != k.version:
-		return &listQuery{}
-	case x.peer == peer:
-		return &listQuery{Log: x.log, Cursor: x.next}
-	}
-	return &listQuery{Skip: now.Sub(x.at) < transferTTL}
+	q := listQuery(k.list.Request(now, peer))
+	return &q
 }
 
 // piece returns the piece that a daemon requests that is complete up to a version, or nil if it has all, and
@@ -83,31 +65,27 @@
 func (k *endpointTracker) piece(version int64, q *listQuery) (at int64, p *listPiece, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	resumes := q.Log == instanceOf(k.d.Self) && k.log.Valid(q.Cursor)
-	if q.Skip || !resumes && k.changed <= version {
-		return k.version, nil, nil
+	at = k.list.Version()
+	from, start, ok := k.list.Serve(version, replica.Request(*q))
+	if !ok {
+		return at, nil, nil
 	}
-	p = &listPiece{Log: instanceOf(k.d.Self), Start: !resumes, From: q.Cursor}
-	if p.Start {
-		p.From = k.log.Since(version)
+	if c, ok := k.packed.get(from); ok {
+		return at, &listPiece{Log: instanceOf(k.d.Self), Start: start, From: from, Next: c.next, More: true, Packed: true, Rows: c.rows}, nil
 	}
-	if c, ok := k.packed.get(p.From); ok {
-		p.Next, p.More, p.Packed, p.Rows = c.next, true, true, c.rows
-		return k.version, p, nil
-	}
-	rows, next, more := k.log.Next(p.From, listPieceSize, rowSize)
-	p.Next, p.More = next, more
-	if p.Rows = encodeRows(rows); len(p.Rows) < packedSize {
-		return k.version, p, nil
+	next := k.list.Next(from, start, listPieceSize, rowSize)
+	p = &listPiece{Log: next.Log, Start: start, From: from, Next: next.Next, More: next.More, Rows: encodeRows(next.Rows)}
+	if len(p.Rows) < packedSize {
+		return at, p, nil
 	}
 	if p.Rows, err = compress(p.Rows); err != nil {
-		return k.version, nil, err
+		return at, nil, err
 	}
 	p.Packed = true
-	if more {
-		k.packed.put(p.From, cachedPiece{next, p.Rows})
+	if p.More {
+		k.packed.put(from, cachedPiece{p.Next, p.Rows})
 	}
-	return k.version, p, nil
+	return at, p, nil
 }
 
 // unpaged returns the changes after a version for a daemon that does not know pieces; whole is true if they are
@@ -115,24 +93,24 @@
 func (k *endpointTracker) unpaged(version int64) (at int64, rows []entryRow, whole, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.changed <= version {
-		return k.version, nil, false, true
+	from, start, ok := k.list.Serve(version, replica.Request{})
+	if !ok {
+		return k.list.Version(), nil, false, true
 	}
-	c := k.log.Since(version)
-	changed, _, more := k.log.Next(c, maxUnpagedSize, rowSize)
-	if more {
+	p := k.list.Next(from, start, maxUnpagedSize, rowSize)
+	if p.More {
 		return 0, nil, false, false
 	}
-	for _, r := range changed {
-		if !c.Whole || !r.Removed {
+	for _, r := range p.Rows {
+		if !from.Whole || !r.Removed {
 			rows = append(rows, entryRow{r.Key, r.Value, r.Removed})
 		}
 	}
-	return k.version, rows, c.Whole, true
+	return k.list.Version(), rows, from.Whole, true
 }
 
 // takePiece applies a piece of another daemon's list, which is complete up to version with the last piece. It
-// reports whether to request the next one. A piece that does not continue the transfer in progress is dropped.
+// reports whether to request the next one.
 func (k *endpointTracker) takePiece(now time.Time, peer string, version int64, p *listPiece) (more bool, err error) {
 	rows, err := decodeRows(p)
 	if err != nil {
@@ -140,38 +118,13 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	x := k.transfer
-	if x != nil && x.base != k.version {
-		x = nil // this daemon has read the store meanwhile
-	}
-	switch {
-	case version < k.version:
-		return false, nil
-	case p.Start && (x == nil || x.peer == peer || now.Sub(x.at) >= transferTTL):
-		x = &listTransfer{peer: peer, log: p.Log, base: k.version, seen: make(map[string]bool)}
-	case p.Start || x == nil || x.log != p.Log || x.next != p.From:
-		return false, nil
-	}
-	k.logged = max(k.logged, version)
 	k.changes.begin(k.d.log, len(rows))
 	defer k.changes.end()
-	for _, r := range rows {
-		row := platform.Row{Table: platform.RunnerTable, Key: r.ID, Value: r.Value, Removed: r.Gone}
-		if k.apply(now, row, p.From.Whole) {
-			x.seen[r.ID] = true
-		} else {
-			delete(x.seen, r.ID)
-		}
-	}
-	x.next, x.at = p.Next, now
-	if k.transfer = x; p.More {
-		return true, nil
-	}
-	if p.From.Whole {
-		k.removeOthers(now, x.seen)
-	}
-	k.transfer, k.version, k.changed = nil, version, version
-	return false, nil
+	more = k.list.TakePiece(now, peer, version, replica.Piece[[]byte]{
+		Log: p.Log, Start: p.Start, From: p.From, Next: p.Next, More: p.More, Rows: rows,
+	}, k.changed(now, nil))
+	k.noteComplete(now)
+	return more, nil
 }
 
 func rowSize(r replica.Row[[]byte]) int { return len(r.Key) + len(r.Value) }
@@ -184,14 +137,22 @@
 	return conn.Marshal(out)
 }
 
-func decodeRows(p *listPiece) (rows []entryRow, err error) {
-	b := p.Rows
+func decodeRows(p *listPiece) ([]replica.Row[[]byte], error) {
+	b, err := p.Rows, error(nil)
 	if p.Packed {
 		if b, err = decompress(b, maxPieceSize); err != nil {
 			return nil, err
 		}
 	}
-	return rows, errors.Wrap(conn.Unmarshal(b, &rows), "entry: piece of the list of endpoints")
+	var rows []entryRow
+	if err := conn.Unmarshal(b, &rows); err != nil {
+		return nil, errors.Wrap(err, "entry: piece of the list of endpoints")
+	}
+	out := make([]replica.Row[[]byte], len(rows))
+	for i, r := range rows {
+		out[i] = replica.Row[[]byte]{Key: r.ID, Value: r.Value, Removed: r.Gone}
+	}
+	return out, nil
 }
 
 // cachedPiece is a compressed piece. Entries in it that have changed since follow later in the log.
--- a/entry/meters.go
+++ b/entry/meters.go
@@ -12,6 +12,7 @@
 	"streambend.example/clock"
 	"streambend.example/code"
 	"streambend.example/conn"
+	"streambend.example/replica"
 	"streambend.example/rollout"
 )
 
@@ -142,8 +143,8 @@
 		"answers.streamed": d.buffers.Streamed.Load, "callers.stalled": d.inbound.Stalled,
 		"endpoints.limited": func() int64 { return int64(d.Server.Works.Limited()) },
 		"members":           func() int64 { return int64(len(d.Hub.Mesh.Members())) },
-		"catalog.age_ms":    d.catalog.fresh.gauge,
-		"endpoints.age_ms":  d.runners.fresh.gauge,
+		"catalog.age_ms":    ageGauge(&d.catalog.fresh),
+		"endpoints.age_ms":  ageGauge(d.runners.fresh),
 		"catalog.version": func() int64 {
 			if c := d.catalog.get(); c != nil {
 				return c.Version
@@ -157,3 +158,13 @@
 		d.meters.gauge("links.sent_bytes."+conn.FrameKind(k).String(), func() int64 { return d.Hub.Traffic().Sent[k] })
 	}
 }
+
+// ageGauge returns a function that returns an age in milliseconds, or -1 if there is none.
+func ageGauge(f *replica.Freshness) func() int64 {
+	return func() int64 {
+		if age, ok := f.Age(clock.Now()); ok {
+			return age.Milliseconds()
+		}
+		return -1
+	}
+}
--- a/entry/outage.go
+++ b/entry/outage.go
@@ -8,6 +8,7 @@
 
 	"streambend.example/clock"
 	"streambend.example/outage"
+	"streambend.example/replica"
 )
 
 const (
@@ -20,7 +21,7 @@
 )
 
 // outageFor reports whether the store fails for all, so that no data younger than this daemon's can be had.
-func (d *Daemon) outageFor(now time.Time, held *Freshness, of outage.ReportTime, bound time.Duration) bool {
+func (d *Daemon) outageFor(now time.Time, held *replica.Freshness, of outage.ReportTime, bound time.Duration) bool {
 	switch {
 	case d.limitedFeeds.Load() > 0:
 		return false // the store serves others
@@ -76,7 +77,7 @@
 
 // isOnlyDaemon reports whether there is no other daemon: there never was one, except for some that stopped
 // as planned, or all others have ended and the store has refreshed what is held after that.
-func (d *Daemon) isOnlyDaemon(held *Freshness) bool {
+func (d *Daemon) isOnlyDaemon(held *replica.Freshness) bool {
 	if _, known := d.Hub.Mesh.Counts(); known < 2 {
 		return d.Site().First || d.contact.counted.Load()
 	}
@@ -88,7 +89,7 @@
 // served recently disproves it, this daemon first of all.
 func (d *Daemon) recordOutage(now time.Time) {
 	age, _ := d.runners.fresh.Age(now)
-	if d.failingFeeds.Load() > 0 && age > recentlyServedAge && d.outageFor(now, &d.runners.fresh, outage.ListTime, recentlyServedAge) {
+	if d.failingFeeds.Load() > 0 && age > recentlyServedAge && d.outageFor(now, d.runners.fresh, outage.ListTime, recentlyServedAge) {
 		d.runners.storeFailed(now)
 	}
 }
@@ -104,7 +105,7 @@
 	if bound := d.listBound(); known && age <= bound {
 		return now.Add(bound - age), true
 	}
-	return time.Time{}, known && d.outageFor(now, &d.runners.fresh, outage.ListTime, d.listBound())
+	return time.Time{}, known && d.outageFor(now, d.runners.fresh, outage.ListTime, d.listBound())
 }
 
 // late reports whether data is so close to its bound that a daemon tries every source for a younger copy.
--- a/entry/outagelog.go
+++ b/entry/outagelog.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"streambend.example/outage"
+	"streambend.example/replica"
 )
 
 // outageLog logs when data of this daemon begins and ceases to be used beyond its bound, with the reports that decided
@@ -21,10 +22,10 @@
 func (l *outageLog) update(now time.Time) {
 	d := l.d
 	l.record(now, 0, "catalog", &d.catalog.fresh, outage.CatalogTime, d.Site().Bounds.Configuration)
-	l.record(now, 1, "endpoints", &d.runners.fresh, outage.ListTime, d.listBound())
+	l.record(now, 1, "endpoints", d.runners.fresh, outage.ListTime, d.listBound())
 }
 
-func (l *outageLog) record(now time.Time, table int, name string, held *Freshness, of outage.ReportTime, bound time.Duration) {
+func (l *outageLog) record(now time.Time, table int, name string, held *replica.Freshness, of outage.ReportTime, bound time.Duration) {
 	age, known := held.Age(now)
 	used := known && age > bound && l.d.outageFor(now, held, of, bound)
 	if l.used[table] == used {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -305,9 +305,7 @@
 		more = rest && err == nil
 	}
 	moreList = d.applyList(name, q.List.Skip, a)
-	if d.runners.current() >= a.Runners {
-		d.runners.fresh.Peer(sent, a.Listed)
-	}
+	d.runners.currentAt(sent, a.Runners, a.Listed)
 	if c := d.catalog.get(); c != nil && c.Version >= a.Catalog {
 		d.catalog.fresh.Peer(sent, a.Age)
 		d.catalog.readTo(a.At)
--- a/entry/runners.go
+++ b/entry/runners.go
@@ -36,16 +36,12 @@
 // endpointTracker updates the pools from the endpoints' entries in the store.
 type endpointTracker struct {
 	d     *Daemon
-	fresh Freshness // of the list
+	fresh *replica.Freshness // of the list
 
 	mu        sync.Mutex
-	version   int64 // store version up to which the list is complete
-	changed   int64 // store version at which the list last changed
+	list      *replica.Copy[[]byte] // the endpoints' entries
 	byID      map[string]platform.Runner
-	log       replica.Log[[]byte] // the endpoints' entries, for other daemons
-	logged    int64               // store version of the last entry in log, above version during a transfer
-	transfer  *listTransfer       // from another daemon, in progress; nil if there is none
-	packed    pieceCache          // pieces of log for other daemons
+	packed    pieceCache // pieces of list for other daemons
 	changes   changeLogger
 	missing   map[string]bool      // entries that disappeared around an outage of the store
 	unnamed   map[string]bool      // endpoints of services that the catalog does not name
@@ -60,8 +56,9 @@
 const maxInvalid = 512
 
 func newEndpointTracker(d *Daemon) endpointTracker {
+	list := replica.New(instanceOf(d.Self), transferTTL, bytes.Equal)
 	return endpointTracker{
-		d: d, byID: make(map[string]platform.Runner),
+		d: d, fresh: &list.Fresh, list: list, byID: make(map[string]platform.Runner),
 		missing: make(map[string]bool), unnamed: make(map[string]bool), invalid: make(map[string]int64), found: make(map[string]time.Time),
 	}
 }
@@ -89,65 +86,46 @@
 // take applies rows read at a store version. An endpoint whose entry disappears right after an outage
 // of the store is still used for a while.
 func (k *endpointTracker) take(now time.Time, version int64, rows []platform.Row, whole bool) {
+	entries := make([]replica.Row[[]byte], 0, len(rows))
+	versions := make(map[string]int64, len(rows))
+	for _, r := range rows {
+		if r.Part == "" {
+			entries = append(entries, replica.Row[[]byte]{Key: r.Key, Value: r.Value, Removed: r.Removed})
+			versions[r.Key] = r.Version
+		}
+	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if version < k.version {
-		return // newer rows have already come from other daemons
-	}
-	k.version, k.logged = version, max(k.logged, version)
-	if len(rows) > 0 || whole {
-		k.changed = version
-	}
 	k.changes.begin(k.d.log, len(rows))
 	defer k.changes.end()
-	there := make(map[string]bool, len(rows))
-	for _, row := range rows {
-		if k.apply(now, row, whole) {
-			there[row.Key] = true
-		}
-	}
-	if whole {
-		k.removeOthers(now, there)
-	}
+	k.list.Take(version, entries, whole, k.changed(now, versions))
+	k.noteComplete(now)
 }
 
-// apply applies one row and reports whether it is an endpoint's entry. In a read of the whole table an
-// unchanged entry is no change. The caller holds the lock.
-func (k *endpointTracker) apply(now time.Time, row platform.Row, whole bool) bool {
-	if row.Part != "" {
-		return false
-	}
-	if row.Removed {
-		k.entryRemoved(now, row.Key)
-		return false
-	}
-	if old, ok := k.log.Get(row.Key); ok && bytes.Equal(old, row.Value) {
-		if !whole {
-			k.log.Set(k.logged, row.Key, old) // the entry changed and changed back
+// changed returns the function that applies a change of the list; versions are those of the entries in the store, as
+// far as they are known. The caller holds the lock.
+func (k *endpointTracker) changed(now time.Time, versions map[string]int64) replica.Change[[]byte] {
+	return func(e replica.Row[[]byte]) bool {
+		if e.Removed {
+			k.entryRemoved(now, e.Key)
+			return true
 		}
+		row := platform.Row{Table: platform.RunnerTable, Key: e.Key, Value: e.Value, Version: versions[e.Key]}
+		r, err := platform.ReadRunner(row)
+		if err != nil {
+			k.ignoreInvalid(row, err)
+			return false
+		}
+		delete(k.invalid, r.ID)
+		k.set(now, r)
 		return true
 	}
-	r, err := platform.ReadRunner(row)
-	if err != nil {
-		k.ignoreInvalid(row, err)
-		return false
-	}
-	delete(k.invalid, r.ID)
-	k.log.Set(k.logged, r.ID, row.Value)
-	k.set(now, r)
-	return true
 }
 
-// removeOthers removes the endpoints that a complete list does not contain. The caller holds the lock.
-func (k *endpointTracker) removeOthers(now time.Time, there map[string]bool) {
-	for id := range k.byID {
-		if !there[id] {
-			k.entryRemoved(now, id)
-		}
-	}
-	if k.readAt.IsZero() {
+// noteComplete records when the list was complete for the first time. The caller holds the lock.
+func (k *endpointTracker) noteComplete(now time.Time) {
+	if k.readAt.IsZero() && k.list.Complete() {
 		k.readAt = now
-		k.log.Begin(k.logged)
 	}
 }
 
@@ -236,7 +214,7 @@
 }
 
 // entryRemoved drops an endpoint whose entry was removed, or marks it as missing if an outage of the
-// store may be the cause.
+// store may be the cause: other daemons, which may have had none, need not keep it. The caller holds the lock.
 func (k *endpointTracker) entryRemoved(now time.Time, id string) {
 	r, ok := k.byID[id]
 	if !ok {
@@ -247,7 +225,6 @@
 			k.changes.log(r, "entry missing after an outage of the store, endpoint still used", nil)
 		}
 		k.missing[id] = true
-		k.log.Remove(k.logged, id) // daemons that had no outage need not keep it
 		return
 	}
 	k.drop(id, r)
@@ -258,7 +235,6 @@
 	delete(k.byID, id)
 	delete(k.missing, id)
 	delete(k.found, id)
-	k.log.Remove(k.logged, id)
 	if !k.unnamed[id] {
 		k.d.work(r.Service).Pool.Forget(id)
 	}
@@ -303,7 +279,15 @@
 func (k *endpointTracker) current() int64 {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.version
+	return k.list.Version()
+}
+
+// currentAt records that another daemon, queried at sent, answered that its list at a version was current age before the
+// answer.
+func (k *endpointTracker) currentAt(sent time.Time, version int64, age time.Duration) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.list.CurrentAt(sent, version, age)
 }
 
 // known reports whether a complete list of endpoints has arrived.
--- a/replica/doc.go
+++ b/replica/doc.go
@@ -7,4 +7,8 @@
 //
 //	c := log.Since(version) // where the copy starts
 //	rows, c, more := log.Next(c, maxBytes, sizeOf)
+//
+// Copy is the whole of it for one daemon: it takes rows from the store and from other copies in any order, and Freshness
+// tells up to which moment it is known to hold all changes. The package does no input or output; callers pass the current
+// time.
 package replica
--- a/entry/freshness.go
+++ b/replica/freshness.go
@@ -1,12 +1,10 @@
 // SPDX-License-Identifier: MIT
 
-package entry
+package replica
 
 import (
 	"sync"
 	"time"
-
-	"streambend.example/clock"
 )
 
 // Freshness is the latest moment at which a copy of a table of the store, the catalog or the list of
@@ -69,11 +67,3 @@
 	defer f.mu.Unlock()
 	return f.at.After(t)
 }
-
-// gauge returns the age in milliseconds, or -1 if there is none.
-func (f *Freshness) gauge() int64 {
-	if age, ok := f.Age(clock.Now()); ok {
-		return age.Milliseconds()
-	}
-	return -1
-}
--- a/replica/log.go
+++ b/replica/log.go
@@ -48,6 +48,17 @@
 	return l.entries[i].Value, true
 }
 
+// Keys returns the keys of all rows.
+func (l *Log[V]) Keys() []string {
+	keys := make([]string, 0, l.rows)
+	for key, i := range l.at {
+		if !l.entries[i].Removed {
+			keys = append(keys, key)
+		}
+	}
+	return keys
+}
+
 // Begin records that the rows are complete as of a version, and that earlier removals are not known.
 func (l *Log[V]) Begin(version int64) { l.floor = max(l.floor, version) }
 
