replica: a second read of all rows ends what the log knows of removals

Callers saw requests fail or run at endpoints that had been gone for more than the bound, at daemons to which nothing was done: 30 to 215 of them in TestEndpointsRemovedWhileAReaderIsCutOffGetNoRequests, in 6 of 6 runs.

Cause: a copy that reads all rows anew (the store has forgotten the changes since its version, or another daemon's log has) learns what there is, not what came and went since its last version. Only the first such read raised the log's floor, the version up to which removals are not known. A daemon between the two versions then copied 'the changes' from it, got the newer version, and kept rows that the source had never held.

Every read of all rows raises the floor now, so that daemons below it copy all rows. The cost is one transfer of the list to each daemon that copies from the one that has read it anew, 2.5 MB of entries with 10,000 endpoints, an eighth of that on the link; it happens where the store's history is gone.

TestACopyDropsWhatWasRemovedBetweenTwoWholeReadsOfItsSource failed before with the removed row still there.

--- a/replica/copy.go
+++ b/replica/copy.go
@@ -114,10 +114,8 @@
 			c.log.Remove(c.logged, key)
 		}
 	}
-	if !c.complete {
-		c.complete = true
-		c.log.Begin(c.logged)
-	}
+	c.complete = true
+	c.log.Begin(c.logged)
 }
 
 // Request returns what to request from a daemon: the next piece of the transfer in progress, nothing if that is with
