replica: a removal is passed on by copies that never held the row

Cause: a copy that is told that a row was removed which it does not hold (it came and went while the copy was behind) did not log the removal. A daemon ahead of it that held the row then copied the changes from it, through which the removal never came, and took the newer version. It takes no loss of history: one daemon that was behind for a moment, others that copy from it, as all of a zone do from its reader.

Removals are logged whether or not the row is held; the log's bound on them is the same. Only in a read of all rows they need not be, as that raises the log's floor.

TestACopyDropsWhatItsSourceNeverHeld failed before.

--- a/replica/copy.go
+++ b/replica/copy.go
@@ -85,25 +85,23 @@
 }
 
 // apply applies one row, and reports whether the copy holds it afterwards. In a read of all rows an unchanged one is no
-// change.
+// change. A removal is logged also if the copy does not hold the row, as others may.
 func (c *Copy[V]) apply(r Row[V], whole bool, change Change[V]) bool {
 	old, held := c.log.Get(r.Key)
-	switch {
-	case r.Removed:
-		change(r)
-		c.log.Remove(c.logged, r.Key)
-		return false
-	case held && c.equal(old, r.Value):
+	if !r.Removed && held && c.equal(old, r.Value) {
 		if !whole {
 			c.log.Set(c.logged, r.Key, old) // it changed and changed back
 		}
 		return true
-	case !change(r):
+	}
+	if change(r) && !r.Removed {
+		c.log.Set(c.logged, r.Key, r.Value)
+		return true
+	}
+	if held || !whole { // what all rows lack is dropped by other copies without the log
 		c.log.Remove(c.logged, r.Key)
-		return false
 	}
-	c.log.Set(c.logged, r.Key, r.Value)
-	return true
+	return false
 }
 
 // removeOthers removes the rows that are not among all present ones.
--- a/replica/copy_test.go
+++ b/replica/copy_test.go
@@ -62,3 +62,15 @@
 	assert.Equal(t, map[string]int{"a": 1}, c.rows)
 	assert.EqualValues(t, 30, c.Version())
 }
+
+// A row whose removal came through a daemon that had never held it stayed in the copies of other daemons.
+func TestACopyDropsWhatItsSourceNeverHeld(t *testing.T) {
+	source, c := newHeld("source"), newHeld("c")
+	source.read(10, true, row("a", 1))
+	c.read(10, true, row("a", 1))
+	c.read(20, false, row("b", 2))
+	source.read(30, false, gone("b"))
+	c.copyFrom(source)
+	assert.Equal(t, map[string]int{"a": 1}, c.rows)
+	assert.EqualValues(t, 30, c.Version())
+}
--- a/replica/copymodel_test.go
+++ b/replica/copymodel_test.go
@@ -264,7 +264,7 @@
 
 // A copy that lacks a change from before its stated age lets requests reach endpoints that have left or are gone.
 func TestACopyIsNeverOlderThanItSays(t *testing.T) {
-	for n := range 10 {
+	for n := range 40 {
 		t.Run(fmt.Sprint(n), func(t *testing.T) {
 			rapid.Check(t, func(t *rapid.T) {
 				began := time.Unix(1000, 0)
--- a/replica/log.go
+++ b/replica/log.go
@@ -69,11 +69,8 @@
 	l.compact()
 }
 
-// Remove records that a row was removed at a version. It has no effect if there is no such row.
+// Remove records that a row was removed at a version, also if there is none: another copy may hold it.
 func (l *Log[V]) Remove(version int64, key string) {
-	if _, ok := l.Get(key); !ok {
-		return
-	}
 	l.append(version, Row[V]{Key: key, Removed: true})
 	l.removed++
 	l.compact()
