conn, request, entry: the time until a request's first byte is written

attempts.connect_ms ends with the connection, at once if that is a kept one, and so cannot show what the fourth hypothesis of docs/incidents/leaving-endpoints-again.md needs: the wait between the connection and the first byte. attempts.write_ms is that moment. No change of behaviour.

--- a/conn/endpoint.go
+++ b/conn/endpoint.go
@@ -114,12 +114,12 @@
 	c := &Client{limit: limit}
 	c.dial = c.Dials.dial(n.Dial)
 	pooled := &http.Transport{
-		DialContext: c.dial, MaxIdleConns: 4096, MaxIdleConnsPerHost: 256, IdleConnTimeout: 90 * time.Second, DisableCompression: true,
+		DialContext: gated(c.dial), MaxIdleConns: 4096, MaxIdleConnsPerHost: 256, IdleConnTimeout: 90 * time.Second, DisableCompression: true,
 	}
 	// net/http retries a request on its own when a reused connection turns out
 	// to be closed, but never on a new connection. Calls that must not be
 	// repeated therefore each use a new connection.
-	single := &http.Transport{DialContext: c.dial, DisableKeepAlives: true, DisableCompression: true}
+	single := &http.Transport{DialContext: gated(c.dial), DisableKeepAlives: true, DisableCompression: true}
 	c.pooled, c.single = &http.Client{Transport: pooled}, &http.Client{Transport: single}
 	return c
 }
--- a/conn/forward.go
+++ b/conn/forward.go
@@ -27,7 +27,8 @@
 	Body    []byte
 	Fresh   bool // use a new connection, so that net/http does not retry a request that may run only once
 
-	Connected func(reused bool) // called once connected, before any byte is sent; may be nil
+	Connected  func(reused bool) // called once connected, before any byte is sent; may be nil
+	FirstWrite func()            // called right before the first byte is written; may be nil
 }
 
 // unrepeatableBody is a request body that net/http must not resend on its own: without
@@ -45,6 +46,9 @@
 		if p.Connected != nil {
 			p.Connected(i.Reused)
 		}
+		if g, ok := i.Conn.(*writeGate); ok && p.FirstWrite != nil {
+			g.first.Store(&p.FirstWrite)
+		}
 	}}
 	req := &http.Request{
 		Method: p.Method, URL: targetURL(p.Address, p.Target), Host: p.Host, Header: p.Header,
--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -169,7 +169,7 @@
 	o.NoLimit = true
 	o.RouteWait = defaultRetryAfter
 	o.Listed = d.listed
-	o.OnConnected = d.meters.connected
+	o.OnConnected, o.OnFirstWrite = d.meters.connected, d.meters.firstWritten
 	o.Trials = &d.rollouts
 	o.Forwarder = d.forwards
 	o.Permits, o.OnAdvertised = &d.limits, d.words.queue
--- a/entry/meters.go
+++ b/entry/meters.go
@@ -26,6 +26,7 @@
 	first    metrics.Histogram // milliseconds from sending an attempt to its first event
 	asked    metrics.Histogram // milliseconds until another daemon answers a question
 	connect  metrics.Histogram // milliseconds from the choice of an endpoint until a connection to it is ready
+	write    metrics.Histogram // the same until its first byte is about to be written
 	stale    metrics.Counter   // requests admitted with a configuration beyond its bound
 	outages  metrics.Counter   // outages of the store that were confirmed
 	off      metrics.Histogram // first minus the time predicted by the engine model, in milliseconds
@@ -44,6 +45,7 @@
 	m.off = m.histogram("answers.first_off_ms")
 	m.asked = m.histogram("peers.answer_ms")
 	m.connect = m.histogram("attempts.connect_ms")
+	m.write = m.histogram("attempts.write_ms")
 	m.stale = metrics.GetOrRegisterCounter("requests.catalog_beyond_bound", m.registry)
 	m.outages = metrics.GetOrRegisterCounter("outages.confirmed", m.registry)
 	return m
@@ -69,6 +71,9 @@
 // connected records the time from the choice of an endpoint until a connection to it was ready.
 func (m *meters) connected(took time.Duration) { m.connect.Update(took.Milliseconds()) }
 
+// firstWritten records the time from the choice of an endpoint until the first byte was written to it.
+func (m *meters) firstWritten(took time.Duration) { m.write.Update(took.Milliseconds()) }
+
 // refused counts an error by its code.
 func (m *meters) refused(c code.Code) {
 	metrics.GetOrRegisterCounter("errors."+c.Entry().Name, m.registry).Inc(1)
--- a/request/relay.go
+++ b/request/relay.go
@@ -145,6 +145,7 @@
 			old.Stop()
 			r.recordConnected(c.Target, chosen, reused)
 		},
+		FirstWrite: func() { r.recordFirstWrite(chosen) },
 	})
 	if err != nil {
 		c.Target.Dropped(r.Now(), mark)
--- a/request/servicestate.go
+++ b/request/servicestate.go
@@ -49,6 +49,7 @@
 	OnAdvertised     func(w EndpointState)    // called when an endpoint's answers advertise new state; nil for none
 	Forwarder        Forwarder                // sends requests through other daemons; nil if each daemon sends its own
 	OnConnected      func(took time.Duration) // called when an attempt's connection is ready, with the time since its choice; may be nil
+	OnFirstWrite     func(took time.Duration) // the same, called right before its first byte is written
 	Holds            HoldTransport            // shares with other daemons which requests are held back
 
 	Now          func() time.Time // clock for ages and deadlines; nil for time.Now
