request, conn: a request is checked against the age of the list at its first byte

A request could reach an endpoint later than the bound after it had said that it leaves, by as long as the request waited between its connection and its first byte. The timer of the list's age ends at the connection, with a kept one at once; from there to the write it waits for the processor, on a box with a fifth of a core for tenths of a second.

The connection asks the request right before its first byte is written. If the list has become too old by then nothing is written, the attempt counts as not sent, the endpoint is not blamed, and the request chooses again. What the request then takes on the link is left to the margin, as before.

--- a/conn/firstwrite.go
+++ b/conn/firstwrite.go
@@ -13,13 +13,15 @@
 // tenths of a second.
 type writeGate struct {
 	net.Conn
-	first atomic.Pointer[func()] // nil once it has been called
+	first atomic.Pointer[func() error] // an error keeps the byte from being written; nil once it has been called
 }
 
 // Write implements net.Conn.
 func (g *writeGate) Write(b []byte) (int, error) {
 	if first := g.first.Swap(nil); first != nil {
-		(*first)()
+		if err := (*first)(); err != nil {
+			return 0, err
+		}
 	}
 	return g.Conn.Write(b)
 }
--- a/conn/forward.go
+++ b/conn/forward.go
@@ -28,7 +28,7 @@
 	Fresh   bool // use a new connection, so that net/http does not retry a request that may run only once
 
 	Connected  func(reused bool) // called once connected, before any byte is sent; may be nil
-	FirstWrite func()            // called right before the first byte is written; may be nil
+	FirstWrite func() error      // called right before the first byte is written, which an error prevents; may be nil
 }
 
 // unrepeatableBody is a request body that net/http must not resend on its own: without
@@ -40,14 +40,19 @@
 // Forward sends a request to an endpoint and returns the response with its body unread. The
 // error is a Failure, which records whether the request may have reached the endpoint.
 func (c *Client) Forward(ctx context.Context, p ForwardRequest) (*http.Response, error) {
-	var sent atomic.Bool
+	var sent, withheld atomic.Bool
+	firstWrite := func() error {
+		err := p.FirstWrite()
+		withheld.Store(err != nil)
+		return err
+	}
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		sent.Store(true)
 		if p.Connected != nil {
 			p.Connected(i.Reused)
 		}
 		if g, ok := i.Conn.(*writeGate); ok && p.FirstWrite != nil {
-			g.first.Store(&p.FirstWrite)
+			g.first.Store(&firstWrite)
 		}
 	}}
 	req := &http.Request{
@@ -67,7 +72,7 @@
 	}
 	resp, err := hc.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		return nil, &Failure{Sent: sent.Load(), Err: err}
+		return nil, &Failure{Sent: sent.Load() && !withheld.Load(), Err: err}
 	}
 	return resp, nil
 }
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -187,7 +187,7 @@
 	c.Target.Begin(f)
 	defer c.Target.End(f)
 	now := r.opts.look()
-	if !c.SendBy.IsZero() && !now.Before(c.SendBy) {
+	if c.expired(now) {
 		return EndedUnsent, errStaleList // the box was suspended after the choice
 	}
 	if r.barred(now, c.Target) {
--- a/request/forward.go
+++ b/request/forward.go
@@ -210,13 +210,6 @@
 	}
 }
 
-// recordFirstWrite reports that the first byte is about to be written to an endpoint chosen at chosen.
-func (r *run) recordFirstWrite(chosen time.Time) {
-	if r.opts.OnFirstWrite != nil {
-		r.opts.OnFirstWrite(r.Now().Sub(chosen))
-	}
-}
-
 // recordPath reports to the Forwarder what an attempt tells of the path to its endpoint.
 func (r *run) recordPath(now time.Time, t *Target, e Ending, failure error) {
 	f := r.opts.Forwarder
--- a/request/relay.go
+++ b/request/relay.go
@@ -145,7 +145,7 @@
 			old.Stop()
 			r.recordConnected(c.Target, chosen, reused)
 		},
-		FirstWrite: func() { r.recordFirstWrite(chosen) },
+		FirstWrite: func() error { return r.checkFirstWrite(c, chosen) },
 	})
 	if err != nil {
 		c.Target.Dropped(r.Now(), mark)
@@ -251,7 +251,8 @@
 }
 
 // startListTimer cancels an attempt that is not yet connected when the list from which its
-// endpoint was chosen becomes too old: the endpoint may have announced since that it leaves.
+// endpoint was chosen becomes too old: the endpoint may have announced since that it leaves. From the connection on
+// checkFirstWrite sees to it, which cannot withhold a request that is already on its way.
 func (r *run) startListTimer(c Choice, cancel context.CancelCauseFunc) *time.Timer {
 	until := c.SendBy
 	if until.IsZero() {
@@ -260,6 +261,19 @@
 	return time.AfterFunc(max(until.Sub(r.Now()), clock.LeastTimer), func() { cancel(errStaleList) })
 }
 
+// checkFirstWrite is called right before the first byte is written to an endpoint chosen at chosen, and returns an error if
+// the list that it was chosen from has become too old since.
+func (r *run) checkFirstWrite(c Choice, chosen time.Time) error {
+	now := r.opts.look()
+	if r.opts.OnFirstWrite != nil {
+		r.opts.OnFirstWrite(now.Sub(chosen))
+	}
+	if c.expired(now) {
+		return errStaleList
+	}
+	return nil
+}
+
 // withCause returns the cause of the context's cancellation if an attempt failed for it, else the
 // attempt's error.
 func withCause(ctx context.Context, err error) error {
--- /dev/null
+++ b/request/relay_test.go
@@ -0,0 +1,114 @@
+// SPDX-License-Identifier: MIT
+
+package request_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"streambend.example/conn"
+	"streambend.example/internal/standin"
+	"streambend.example/request"
+	"streambend.example/version"
+)
+
+// relayCodec is a protocol whose endpoints answer the request of an id, and have no headers of their own.
+type relayCodec struct{ id string }
+
+// Head implements request.Codec.
+func (relayCodec) Head(request.Attempt) http.Header { return http.Header{} }
+
+// Read implements request.Codec.
+func (c relayCodec) Read(int, http.Header) request.AnswerHead {
+	return request.AnswerHead{ID: c.id, Signed: true, Own: true}
+}
+
+// Copy implements request.Codec.
+func (relayCodec) Copy(_, _ http.Header) {}
+
+// relayWorld is a server in front of one endpoint, which serves with handle.
+type relayWorld struct {
+	server  *request.Server
+	service version.Service
+}
+
+func newRelayWorld(t *testing.T, opts request.Options, handle http.HandlerFunc) *relayWorld {
+	n := standin.NewNet()
+	l, err := n.Listen("10.0.0.9:80")
+	require.NoError(t, err)
+	endpoint := &http.Server{Handler: handle}
+	go endpoint.Serve(l)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	w := &relayWorld{service: version.Service{Name: "plain", PerBox: 4}}
+	client := conn.NewClient(n, 1<<20)
+	w.server = request.NewServer(opts, client, request.NewClaims("self", standin.NewMemory()), nil, log)
+	w.server.Works.Get(&w.service).Pool.Add(request.Endpoint{ID: "i-1", Address: "10.0.0.9:80"})
+	t.Cleanup(func() {
+		w.server.Kill()
+		client.Close()
+		endpoint.Close()
+	})
+	return w
+}
+
+// ask relays a request and returns the status of its answer, 0 if it was refused.
+func (w *relayWorld) ask(t *testing.T, id string, unrepeatable bool) int {
+	out := httptest.NewRecorder()
+	now := time.Now()
+	err := w.server.Relay(t.Context(), &request.Request{
+		ID: id, Service: w.service, Route: version.Route{Name: "r"}, Unrepeatable: unrepeatable, Arrived: now, Deadline: now.Add(5 * time.Second),
+		Path: "/x", Method: http.MethodPost, Header: http.Header{}, Body: []byte("body"),
+		Relay: &request.Relay{Codec: relayCodec{id}, Out: out, Host: "some.example", Attempts: 2},
+	})
+	if err != nil {
+		t.Logf("%s: %v", id, err)
+		return 0
+	}
+	return out.Code
+}
+
+// A request that waited for the processor with its connection open was written to an endpoint that may have left.
+func TestARequestIsNotWrittenOnceTheListIsTooOld(t *testing.T) {
+	for _, unrepeatable := range []bool{false, true} {
+		synctest.Test(t, func(t *testing.T) {
+			const left = 100 * time.Millisecond
+			var mu sync.Mutex
+			var by, late time.Time // of the last choice
+			waits := 0
+			opts := request.Defaults()
+			opts.Listed = func(now time.Time) (time.Time, bool) {
+				mu.Lock()
+				defer mu.Unlock()
+				by = now.Add(left)
+				return by, true
+			}
+			opts.OnConnected = func(time.Duration) {
+				if waits++; waits%2 == 0 {
+					time.Sleep(2 * left)
+				}
+			}
+			w := newRelayWorld(t, opts, func(out http.ResponseWriter, r *http.Request) {
+				io.Copy(io.Discard, r.Body)
+				mu.Lock()
+				defer mu.Unlock()
+				if now := time.Now(); now.After(by) {
+					late = now
+				}
+			})
+			for _, id := range []string{"a", "b", "c"} {
+				assert.Equal(t, http.StatusOK, w.ask(t, id, unrepeatable), "request %s is sent again", id)
+			}
+			assert.Zero(t, late)
+		})
+	}
+}
--- a/request/route.go
+++ b/request/route.go
@@ -60,6 +60,9 @@
 	Others   [candidateCount]Candidate
 }
 
+// expired reports whether it is too late to send the request to the endpoint.
+func (c Choice) expired(now time.Time) bool { return !c.SendBy.IsZero() && !now.Before(c.SendBy) }
+
 // WaitsBeyond reports whether the prompt would wait longer than limit even at the chosen engine.
 func (c Choice) WaitsBeyond(limit time.Duration) bool { return max(c.Wait, c.Place) > limit }
 
