estimate, request: an endpoint is slow by the times of its calls' routes

Package estimate keeps times by route, and a target compares each call with the usual time of its own route. Which of two endpoints is faster for a call is decided by the same times; a route without a sample takes the mean of all.

--- /dev/null
+++ b/estimate/times.go
@@ -0,0 +1,135 @@
+// SPDX-License-Identifier: MIT
+
+package estimate
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2/simplelru"
+)
+
+const (
+	// maxRoutes is the number of routes whose times are remembered, at some 150 bytes each.
+	maxRoutes = 1024
+	// steadySamples is the number of samples up to which an average is the plain mean. Beyond it the weight of a
+	// sample stays the same.
+	steadySamples = 20
+	// probeWeight is the weight of the sample of a probe, so that a few of them correct an estimate that refuses.
+	probeWeight = 0.5
+	// probeInterval is the interval of probes of a route.
+	probeInterval = time.Second
+	// boundDeviations is how many mean deviations above the mean a request may take by Bound.
+	boundDeviations = 3
+)
+
+// Times holds the times that the requests of one service took. The zero value is ready to use; it is safe for
+// concurrent use.
+type Times struct {
+	mu     sync.Mutex
+	all    average
+	routes *simplelru.LRU[string, *routeTimes]
+}
+
+// routeTimes are the times of one route.
+type routeTimes struct {
+	average
+	probed time.Time // the last probe
+}
+
+// average is a mean with its mean deviation, in seconds.
+type average struct {
+	samples   int
+	mean      float64
+	deviation float64
+}
+
+func (a *average) add(x, weight float64) {
+	a.samples = min(a.samples+1, steadySamples)
+	weight = math.Max(weight, 1/float64(a.samples))
+	if a.samples > 1 {
+		a.deviation += weight * (math.Abs(x-a.mean) - a.deviation)
+	}
+	a.mean += weight * (x - a.mean)
+}
+
+func (a *average) time() time.Duration { return time.Duration(a.mean * float64(time.Second)) }
+
+// route returns the times of a route, and remembers it; the caller holds the lock.
+func (t *Times) route(name string) *routeTimes {
+	if t.routes == nil {
+		t.routes, _ = simplelru.NewLRU[string, *routeTimes](maxRoutes, nil) // fails only for a size below 1
+	}
+	r, ok := t.routes.Get(name)
+	if !ok {
+		r = &routeTimes{}
+		t.routes.Add(name, r)
+	}
+	return r
+}
+
+// Record records how long a request took; probe is true for one that Probe let through.
+func (t *Times) Record(route string, took time.Duration, probe bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	weight := 0.0
+	if probe {
+		weight = probeWeight
+	}
+	t.route(route).add(took.Seconds(), weight)
+	t.all.add(took.Seconds(), weight)
+}
+
+// Expect returns the mean time of a route's requests, 0 if it is not known.
+func (t *Times) Expect(route string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.route(route).time()
+}
+
+// Usual returns the mean time of a route's requests, or of all routes' if that is not known; 0 if there is none.
+func (t *Times) Usual(route string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.route(route); r.samples > 0 {
+		return r.time()
+	}
+	return t.all.time()
+}
+
+// Steady returns the mean time of a route's requests once it rests on enough samples, 0 before.
+func (t *Times) Steady(route string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.route(route); r.samples == steadySamples {
+		return r.time()
+	}
+	return 0
+}
+
+// Bound returns a time within which nearly all of a route's requests end; ok is false if it is not known. With few
+// samples it is further from their mean.
+func (t *Times) Bound(route string) (bound time.Duration, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.route(route)
+	if r.samples == 0 {
+		return 0, false
+	}
+	deviation := math.Max(r.deviation, r.mean/math.Sqrt(float64(r.samples)))
+	return time.Duration((r.mean + boundDeviations*deviation) * float64(time.Second)), true
+}
+
+// Probe reports whether a request that only its expected time refuses is let through, so that the time can be learned
+// anew.
+func (t *Times) Probe(now time.Time, route string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.route(route)
+	if !r.probed.IsZero() && now.Sub(r.probed) < probeInterval {
+		return false
+	}
+	r.probed = now
+	return true
+}
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -55,7 +55,7 @@
 func (r *run) need(now time.Time) Need {
 	n := Need{At: now, Plain: !r.req.IsModel(), Avoid: r.avoid, RecomputeWeight: r.req.Service.Weigh, Policy: r.opts.Route, PreferNonReclaimable: r.req.Unrepeatable, Draw: r.attemptHash(), Without: r.opts.Without}
 	if n.Plain {
-		n.Service = r.work.Speed.Expect(0, 0)
+		n.Service = r.work.Times.Usual(r.req.Route.Name)
 		return n
 	}
 	n.Prefix, n.Prompt = r.req.Prefix(), r.req.PromptTokens()
--- a/request/servicestate.go
+++ b/request/servicestate.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"streambend.example/estimate"
 	"streambend.example/mechanism"
 	"streambend.example/version"
 )
@@ -15,7 +16,8 @@
 	Pool   *Pool
 	Queue  *Queue
 	Budget Retries
-	Speed  *Speed
+	Speed  *Speed         // of a service with engines
+	Times  estimate.Times // of the answers, by route
 }
 
 // Options configure how a daemon serves requests.
--- a/request/settle.go
+++ b/request/settle.go
@@ -118,10 +118,10 @@
 		// starts every answer and completes none would never be ejected.
 		t.Succeed()
 		if r.succeeded && !r.req.IsModel() && (r.req.Relay == nil || !r.req.Relay.Streaming) {
-			t.RecordCall(now, now.Sub(r.started), r.work.Speed.Expect(0, 0))
+			t.RecordCall(now, now.Sub(r.started), r.work.Times.Usual(r.req.Route.Name))
 		}
-		if pace, ok := r.pace(now); ok && r.opts.Without.On(mechanism.SlowEjection) && t.RecordPace(now, pace, r.work.Speed.Pace(!r.req.IsModel())) {
-			r.logEject(t, fmt.Sprintf("slow: pace %s, usual pace %s", pace, r.work.Speed.Pace(!r.req.IsModel())), nil)
+		if pace, ok := r.pace(now); ok && r.opts.Without.On(mechanism.SlowEjection) && t.RecordPace(now, pace, r.usualPace()) {
+			r.logEject(t, fmt.Sprintf("slow: pace %s, usual pace %s", pace, r.usualPace()), nil)
 		}
 	case EndedUnsent, EndedBroken:
 		if _, leaving := t.Leaving(); !leaving && t.Fail(now, e == EndedUnsent) {
@@ -154,6 +154,15 @@
 	return now.Sub(r.answer.firstTokenAt()) / time.Duration(n-1), true
 }
 
+// usualPace returns the service's usual time per token, or the usual duration of plain calls of the request's route; 0 if
+// it is not known.
+func (r *run) usualPace() time.Duration {
+	if r.req.IsModel() {
+		return r.work.Speed.Pace(false)
+	}
+	return r.work.Times.Steady(r.req.Route.Name)
+}
+
 // prepareRetry prepares the next attempt: it charges the retry budget and waits for the backoff.
 func (r *run) prepareRetry(ctx context.Context, e Ending, v Verdict, t *Target) {
 	switch e {
@@ -223,6 +232,7 @@
 	first := r.answer.firstTokenAt().Sub(r.started)
 	if r.attempts == 1 {
 		r.work.Speed.Answered(first, r.endpointTime(now), u.CompletionTokens, u.PromptTokens-u.Details.CachedTokens)
+		r.work.Times.Record(r.req.Route.Name, r.endpointTime(now), false)
 	}
 	r.answer.settle(nil)
 	if r.claimed {
--- a/request/target.go
+++ b/request/target.go
@@ -90,8 +90,8 @@
 	failures        int           // consecutive failures
 	ejectedUntil    time.Time     // end of the ejection
 	ejectedFor      time.Duration // length of the last ejection
-	meanPace        time.Duration // moving average of the time per token, or per plain call
-	paceSamples     int           // answers in pace
+	meanPace        float64       // moving average of the time per token, or per plain call, relative to the usual one
+	paceSamples     int           // answers in meanPace
 	calls           callLoad      // what load reports tell about plain calls
 	flights         map[*Flight]struct{}
 }
@@ -317,20 +317,23 @@
 // Answered reports whether the endpoint has ever completed a request of this daemon.
 func (t *Target) Answered() bool { return t.hasCompleted.Load() }
 
-// An endpoint is slow if the average over at least slowMinAnswers answers exceeds slowFactor the service's
-// usual time per token. A full batch is about twice as slow as an empty one.
+// An endpoint is slow if the average over at least slowMinAnswers answers exceeds slowFactor times the usual time per
+// token, or that of the calls' routes. A full batch is about twice as slow as an empty one.
 const (
 	slowMinAnswers = 4
 	slowFactor     = 4
 )
 
 // RecordPace records the time per token (or per plain call) of a complete answer, and reports whether the
-// endpoint is ejected as slow compared with the service's usual value.
+// endpoint is ejected as slow compared with the usual value; 0 if that is not known.
 func (t *Target) RecordPace(now time.Time, pace, usual time.Duration) bool {
+	if usual <= 0 {
+		return false
+	}
 	t.mu.Lock()
 	t.paceSamples++
-	t.meanPace += (pace - t.meanPace) / time.Duration(min(t.paceSamples, slowMinAnswers))
-	slow := usual > 0 && t.paceSamples >= slowMinAnswers && t.meanPace > slowFactor*usual
+	t.meanPace += (pace.Seconds()/usual.Seconds() - t.meanPace) / float64(min(t.paceSamples, slowMinAnswers))
+	slow := t.paceSamples >= slowMinAnswers && t.meanPace > slowFactor
 	if slow {
 		t.meanPace, t.paceSamples = 0, 0
 	}
--- a/request/trial.go
+++ b/request/trial.go
@@ -153,7 +153,7 @@
 	if r.req.IsModel() {
 		a.Expect = r.work.Pool.holds.predict(r.req.expectOut())
 	} else {
-		a.Expect = r.work.Speed.Pace(true)
+		a.Expect = r.work.Times.Steady(r.req.Route.Name)
 	}
 	return a
 }
