request: expected times by route, and none that refuses for ever

Cause: a plain service had one mean call time for all routes, and a request that has less time left than the mean is refused at once. What is refused gives no sample, so that a mean above a route's timeout stayed there until the daemons started anew. The same holds after a shortened timeout, for a caller who waits less, and after a freeze that raised the mean.

The expected time is now that of the request's route; without a sample nothing is refused for it. And a route whose estimate refuses gets one request a second through, whose sample counts half, so that three or four correct it.

Looked for elsewhere, refusals whose input only changes when something is served: the speed of engines (the same Probe now); ejections, announced rests, rate limits and holds end by time; the prefill backlog that Overloaded compares drains by time, and reported loads decay; a path that is lost is tried again.

--- a/request/limit.go
+++ b/request/limit.go
@@ -95,22 +95,15 @@
 	l.limit = math.Max(minLimit, l.limit*decreaseFactor)
 }
 
-// Speed holds moving averages of the speed of a service.
+// Speed holds moving averages of the speed of a service's engines.
 type Speed struct {
-	mu         sync.Mutex
-	token      float64 // seconds between two tokens
-	first      float64 // seconds to the first token without prefill
-	prefill    float64 // prompt tokens per second
-	plainCall  float64 // seconds of a plain call
-	plainCalls int     // plain calls in plainCall, up to minPlainCalls
+	mu      sync.Mutex
+	token   float64 // seconds between two tokens
+	first   float64 // seconds to the first token without prefill
+	prefill float64 // prompt tokens per second
 }
 
-const (
-	speedWeight = 0.05
-	// minPlainCalls is the number of plain calls before Pace returns their mean. Up to it plainCall is the
-	// plain mean, beyond it a moving average with speedWeight.
-	minPlainCalls = int(1 / speedWeight)
-)
+const speedWeight = 0.05
 
 func updateAverage(avg *float64, v float64) {
 	if *avg == 0 {
@@ -122,13 +115,11 @@
 
 // Answered records a complete answer; fresh is the number of prompt tokens that were not cached.
 func (s *Speed) Answered(first, total time.Duration, tokens, fresh int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if tokens == 0 {
-		s.plainCalls = min(s.plainCalls+1, minPlainCalls)
-		s.plainCall += (total.Seconds() - s.plainCall) / float64(s.plainCalls)
 		return
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if tokens > 1 {
 		updateAverage(&s.token, (total-first).Seconds()/float64(tokens-1))
 	}
@@ -139,13 +130,13 @@
 	}
 }
 
-// Expect returns the expected service time of an answer with so many tokens.
+// Expect returns the expected service time of an answer with so many tokens, 0 if it is to have none.
 func (s *Speed) Expect(tokens, prompt int) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	if tokens == 0 {
-		return time.Duration(s.plainCall * float64(time.Second))
+		return 0
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	sec := s.first + float64(tokens)*s.token
 	if s.prefill > 0 {
 		sec += 0.5 * float64(prompt) / s.prefill
@@ -153,16 +144,10 @@
 	return time.Duration(sec * float64(time.Second))
 }
 
-// Pace returns the usual time per token, or per plain call; 0 while there are too few answers.
-func (s *Speed) Pace(plain bool) time.Duration {
+// Pace returns the usual time per token, 0 while there is no answer.
+func (s *Speed) Pace() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if plain && s.plainCalls < minPlainCalls {
-		return 0
-	}
-	if plain {
-		return time.Duration(s.plainCall * float64(time.Second))
-	}
 	return time.Duration(s.token * float64(time.Second))
 }
 
--- a/request/relay_test.go
+++ b/request/relay_test.go
@@ -121,6 +121,47 @@
 	}
 }
 
+// A route with a timeout below the mean time of its service's calls was never served.
+func TestAnAddedRouteIsServedBesideSlowCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRelayWorld(t, request.Defaults(), func(out http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body)
+			if r.URL.Path == "/slow" {
+				time.Sleep(240 * time.Millisecond)
+			}
+		})
+		for i := range 40 {
+			assert.Equal(t, http.StatusOK, w.ask(t, relayAsk{id: fmt.Sprint("slow-", i), path: "/slow", wait: time.Second}))
+		}
+		for i := range 40 {
+			assert.Equal(t, http.StatusOK, w.ask(t, relayAsk{id: fmt.Sprint("fast-", i), path: "/fast", wait: 200 * time.Millisecond}))
+		}
+	})
+}
+
+// A mean time that only served requests change refused a route for ever after its calls had been slow.
+func TestARouteWhoseCallsWereSlowIsServedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		took := 2 * time.Second
+		w := newRelayWorld(t, request.Defaults(), func(out http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body)
+			time.Sleep(took)
+		})
+		for i := range 40 {
+			assert.Equal(t, http.StatusOK, w.ask(t, relayAsk{id: fmt.Sprint("slow-", i), path: "/x", wait: 5 * time.Second}))
+		}
+		took = 10 * time.Millisecond
+		served := 0
+		for i := range 100 {
+			if w.ask(t, relayAsk{id: fmt.Sprint("id-", i), path: "/x", wait: 200 * time.Millisecond}) == http.StatusOK {
+				served++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.GreaterOrEqual(t, served, 50)
+	})
+}
+
 // Calls of a slow route made endpoints look slow beside those of a fast one, and they were ejected.
 func TestASlowRouteEjectsNoEndpoint(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/request/server.go
+++ b/request/server.go
@@ -176,6 +176,7 @@
 	claim           Claim
 	claimed         bool
 	ticket          Ticket
+	probe           bool          // only its expected time would have refused it
 	started         time.Time     // when the last attempt was sent
 	expected        time.Duration // time to its first event, as predicted; 0 if not known
 	expectedWait    time.Duration // the part of it before its prefill
@@ -256,12 +257,14 @@
 	}
 	r.ticket = Ticket{
 		Team: r.req.Partner + "/" + r.req.Team, Weight: r.req.Weight, Interactive: r.req.Route.Interactive,
-		Priority: r.req.Route.Priority, Target: r.req.target(), Deadline: r.req.Deadline,
-		Expect: r.work.Speed.Expect(r.req.expectOut(), r.req.PromptTokens()),
+		Priority: r.req.Route.Priority, Target: r.req.target(), Deadline: r.req.Deadline, Expect: r.expect(),
 	}
 	if r.opts.NoFairQueue {
 		r.ticket.Team, r.ticket.Interactive, r.ticket.Priority = "", false, 0
 	}
+	if r.ticket.missesDeadline(now, 0) && now.Before(r.req.Deadline) && r.work.Times.Probe(now, r.req.Route.Name) {
+		r.probe, r.ticket.Expect = true, 0
+	}
 	if err := r.work.Queue.Enter(now, &r.ticket); err != nil {
 		return err
 	}
@@ -280,6 +283,14 @@
 	return code.New(code.DeadlineTooNear, "queued until the deadline was too near").After(r.ticket.Expect)
 }
 
+// expect returns the expected service time of the request, 0 if it is not known.
+func (r *run) expect() time.Duration {
+	if r.req.IsModel() {
+		return r.work.Speed.Expect(r.req.expectOut(), r.req.PromptTokens())
+	}
+	return r.work.Times.Expect(r.req.Route.Name)
+}
+
 // takeClaim claims an unrepeatable request that has a key, and reports whether
 // the request has ended with that.
 func (r *run) takeClaim(ctx context.Context) bool {
--- a/request/settle.go
+++ b/request/settle.go
@@ -158,7 +158,7 @@
 // it is not known.
 func (r *run) usualPace() time.Duration {
 	if r.req.IsModel() {
-		return r.work.Speed.Pace(false)
+		return r.work.Speed.Pace()
 	}
 	return r.work.Times.Steady(r.req.Route.Name)
 }
@@ -232,7 +232,7 @@
 	first := r.answer.firstTokenAt().Sub(r.started)
 	if r.attempts == 1 {
 		r.work.Speed.Answered(first, r.endpointTime(now), u.CompletionTokens, u.PromptTokens-u.Details.CachedTokens)
-		r.work.Times.Record(r.req.Route.Name, r.endpointTime(now), false)
+		r.work.Times.Record(r.req.Route.Name, r.endpointTime(now), r.probe)
 	}
 	r.answer.settle(nil)
 	if r.claimed {
