entry: a daemon that has not read the rows of its own zone does not count the others

Cause: a daemon that starts reads the rows of its own zone's daemons, and then those of the other zones, after which it holds all of them for counted. The first read can fail while the second succeeds, at once where there is no other zone. Such a daemon knew no other, took itself for the only one, and its own failing reads for an outage: it lifted the bounds on list and configuration, and kept endpoints whose entries had gone. A daemon of a deployment that starts for the first time took itself for the only one even without any read.

Only a daemon that has read the rows of its own zone as well has counted the others, at a first start too.

TestADaemonThatHasNotCountedItsZoneKeepsTheBoundOfItsList failed before in both its worlds.

--- a/entry/isolated_test.go
+++ b/entry/isolated_test.go
@@ -36,6 +36,32 @@
 	}
 }
 
+// A daemon that had not read the rows of its own zone yet took itself for the only one.
+func TestADaemonThatHasNotCountedItsZoneKeepsTheBoundOfItsList(t *testing.T) {
+	for _, bootstrap := range []bool{false, true} {
+		t.Run(fmt.Sprint("bootstrap ", bootstrap), func(t *testing.T) {
+			inWorldOf(t, 2, func(w *world) {
+				w.routes[2]["public"] = true
+				w.bootstrap = bootstrap
+			}, func(w *world) {
+				w.runner(plain, "a", "i-0", 0)
+				endpoint := w.runner(plain, "a", "i-1", 0)
+				alone := map[string]bool{"daemon-0": true}
+				w.partition.Store(&alone)
+				w.store.SetFault(standin.RowsFault{Mute: "streambend-daemons", MutedCall: "rows-get", Muted: alone})
+				w.killAndStart(0)
+				time.Sleep(6 * time.Second)
+				w.store.SetFault(standin.RowsFault{RejectedDaemons: alone})
+				w.store.Put(platform.RunnerTable, "", "i-1", endpoint.Entry(plain, "a", "draining"))
+				left := time.Now()
+				w.demand([]int{0}, 30, 6*time.Second, w.askPlain)
+				assert.Zero(t, countFrom(endpoint.ArrivalTimes(), left.Add(bound)))
+				w.checkRefusedAtOnce(t, []int{0})
+			})
+		})
+	}
+}
+
 // cutOffZone cuts the links between the daemons of a zone and all others, until these are dead for each other, and returns
 // the names of the zone's daemons.
 func (w *world) cutOffZone(zone string) map[string]bool {
--- a/entry/members.go
+++ b/entry/members.go
@@ -120,7 +120,9 @@
 		}
 	}
 	d.zones = parts
-	d.contact.counted.Store(true)
+	if d.contact.zoneRead.Load() { // otherwise those of its own zone are missing
+		d.contact.counted.Store(true)
+	}
 }
 
 // readNextZone reads the rows of one zone, all in turn, so that groups of daemons that do not know each other are
--- a/entry/outage.go
+++ b/entry/outage.go
@@ -79,7 +79,7 @@
 // as planned, or all others have ended and the store has refreshed what is held after that.
 func (d *Daemon) isOnlyDaemon(held *replica.Freshness) bool {
 	if _, known := d.Hub.Mesh.Counts(); known < 2 {
-		return d.Site().First || d.contact.counted.Load()
+		return d.contact.counted.Load()
 	}
 	since := d.contact.aloneSince.Load()
 	return since != nil && held.After(*since) && len(d.Hub.Mesh.Silent()) == 0
--- a/internal/standin/rows.go
+++ b/internal/standin/rows.go
@@ -28,6 +28,7 @@
 	RejectStatus    int                      // 0 for 503
 	ResponseDelay   map[string]time.Duration // delay of the response after the execution, by caller
 	Mute            string                   // table whose requests get no response from the callers in Muted
+	MutedCall       string                   // the only call to which Mute applies, such as rows-get; empty for all
 	Muted           map[string]bool          // callers to which Mute applies
 }
 
@@ -112,6 +113,11 @@
 	return http.StatusServiceUnavailable, f.Busy
 }
 
+// mutes reports whether a request gets no response.
+func (f *RowsFault) mutes(r *http.Request) bool {
+	return f.Mute != "" && r.URL.Query().Get("table") == f.Mute && f.Muted[r.Header.Get(daemonHeader)] && strings.HasSuffix(r.URL.Path, f.MutedCall)
+}
+
 // Calls returns the number of requests for a path, or for a path and, after a space, a table.
 func (s *Rows) Calls(path string) int {
 	s.mu.Lock()
@@ -177,8 +183,7 @@
 			w.WriteHeader(status)
 			return
 		}
-		muted := f.Mute != "" && r.URL.Query().Get("table") == f.Mute && f.Muted[r.Header.Get(daemonHeader)]
-		if f.NoResponse || muted {
+		if f.NoResponse || f.mutes(r) {
 			io.Copy(io.Discard, r.Body) // otherwise the server does not detect that the caller disconnects
 			<-r.Context().Done()
 			return
