outage, entry: a daemon that has just found others is not the only one

Cause: whether there is no other daemon was decided from 'since when none is alive', which is updated ten times a second, and was set by the start itself. Between the moment at which a daemon that starts finds the others in the store's rows and the next update it held all of them for ended, and its own failing reads for an outage.

The decision is outage.Others now, with no clock or network, and begins with how many are alive at this moment.

--- a/entry/outage.go
+++ b/entry/outage.go
@@ -75,14 +75,16 @@
 	return age <= bound || d.outageFor(now, &d.catalog.fresh, outage.CatalogTime, bound)
 }
 
-// isOnlyDaemon reports whether there is no other daemon: there never was one, except for some that stopped
-// as planned, or all others have ended and the store has refreshed what is held after that.
+// isOnlyDaemon reports whether there is no other daemon.
 func (d *Daemon) isOnlyDaemon(held *replica.Freshness) bool {
-	if _, known := d.Hub.Mesh.Counts(); known < 2 {
-		return d.contact.counted.Load()
+	_, known := d.Hub.Mesh.Counts() // this daemon included
+	o := outage.Others{
+		Alive: len(d.Hub.Mesh.Members()) - 1, Known: known - 1, Silent: len(d.Hub.Mesh.Silent()), Counted: d.contact.counted.Load(),
 	}
-	since := d.contact.aloneSince.Load()
-	return since != nil && held.After(*since) && len(d.Hub.Mesh.Silent()) == 0
+	if since := d.contact.aloneSince.Load(); since != nil {
+		o.Since = *since
+	}
+	return o.None(held.After)
 }
 
 // recordOutage records that the store fails for all; entries of endpoints expire then. A daemon that the store
