outage, entry: a reader that is served disproves an outage

Cause: an outage was confirmed when enough readers answered with data beyond the bound and one daemon reported a failure. Answers of the store that are long on their way make data old without any failure: two readers whose reads succeeded, with data of 1.72 and 1.79 s where the bound is 1.7 s, and one daemon whose read had stalled, attested an outage to a fourth.

Readers say now whether the store serves them: none of their reads fails, and one has succeeded within two seconds. One such answer disproves an outage, however old the data is; so do a reader's own reads. A reader that has just become one, and has not read yet, knows nothing, as before. In a true outage a reader's reads fail 0.7 s after the longest wait of a query, before the bound is reached.

TestAReaderThatIsServedDisprovesAnOutage is new.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -86,8 +86,9 @@
 	peers           *http.Server
 	stopping        atomic.Bool
 	ready           atomic.Bool
-	failingFeeds    atomic.Int32 // number of store feeds that are failing
-	limitedFeeds    atomic.Int32 // number of those that the store rejects for their rate
+	failingFeeds    atomic.Int32              // number of store feeds that are failing
+	limitedFeeds    atomic.Int32              // number of those that the store rejects for their rate
+	lastRead        atomic.Pointer[time.Time] // the last read of a feed that succeeded; nil for none
 	began           time.Time
 	wall            *Wall
 	contact         contact
--- a/entry/feeder.go
+++ b/entry/feeder.go
@@ -55,6 +55,7 @@
 		if err == nil {
 			began = whole && at == 0
 			at, whole, pause = p.Version, false, 0
+			f.d.lastRead.Store(&now)
 			f.recordRead(at, nil)
 			switch {
 			case began:
--- a/entry/outage.go
+++ b/entry/outage.go
@@ -32,10 +32,20 @@
 }
 
 func (d *Daemon) judgeOutage(now time.Time, of outage.ReportTime, bound time.Duration) outage.Verdict {
-	f := outage.Fleet{Readers: append(d.silentZones(), d.roster().MayRead...), Others: len(d.others()), Fails: d.isReader() && d.failingFeeds.Load() > 0}
+	f := outage.Fleet{Readers: append(d.silentZones(), d.roster().MayRead...), Others: len(d.others())}
+	if d.isReader() {
+		f.Own = outage.Own{Fail: d.failingFeeds.Load() > 0, Served: d.served(now)}
+	}
 	return d.reports.Judge(now, f, of, bound)
 }
 
+// served reports whether the store serves this daemon: none of its reads fails, and one has succeeded a short time ago. One
+// that leaves the reads to others knows nothing of that.
+func (d *Daemon) served(now time.Time) bool {
+	at := d.lastRead.Load()
+	return d.failingFeeds.Load() == 0 && at != nil && now.Sub(*at) <= recentlyServedAge
+}
+
 // silentZones returns one daemon of each availability zone whose daemons are all dead by silence: behind a cut, its reader
 // may be served by the store.
 func (d *Daemon) silentZones() (out []string) {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -67,6 +67,7 @@
 	Empty   bool          `codec:"z,omitempty"` // its reads of the store succeed, but there is no configuration yet
 	Failing bool          `codec:"f,omitempty"` // its reads of the store fail
 	Limited bool          `codec:"i,omitempty"` // the store rejects them for the rate of all daemons' reads
+	Served  bool          `codec:"u,omitempty"` // the store serves them; absent from a daemon that does not say so
 	Age     time.Duration `codec:"a"`           // of the answering daemon's catalog
 	Catalog int64         `codec:"c"`
 	At      int64         `codec:"p"`           // store version up to which that catalog is the newest
@@ -238,7 +239,7 @@
 		}
 		d.chargeAll(clock.Now(), d.flow.Take(clock.Now(), a.Source, a.Flow))
 	}
-	w.Status = a.status()
+	w.Status, w.Served = a.status(), a.Served
 	if a.Known {
 		w.Catalog, w.Listed = sent.Add(-a.Age), sent.Add(-a.Listed)
 	}
@@ -365,7 +366,7 @@
 		a.Empty = f == nil && d.catalog.empty(now)
 		return conn.Marshal(a), nil
 	}
-	a.Limited = d.limitedFeeds.Load() > 0
+	a.Limited, a.Served = d.limitedFeeds.Load() > 0, d.served(now)
 	a.Known, a.Failing, a.Age, a.Listed, a.Catalog = true, d.failingFeeds.Load() > 0, age, listed, f.catalog.Version
 	a.Orders = d.rollouts.reports(now, true)
 	a.Fetched = q.Fetch
--- a/outage/report.go
+++ b/outage/report.go
@@ -26,6 +26,7 @@
 // Report is the outcome of a query to another daemon.
 type Report struct {
 	Status  Status
+	Served  bool // its own reads succeed, the last a short time ago
 	Asked   time.Time
 	Catalog time.Time // when its catalog is known to have been current
 	Listed  time.Time // the same of its list of endpoints
--- a/outage/reports.go
+++ b/outage/reports.go
@@ -51,7 +51,13 @@
 type Fleet struct {
 	Readers []string // those that may read the store for a zone
 	Others  int      // number of other daemons of any kind
-	Fails   bool     // this daemon is a reader itself, and its reads fail
+	Own     Own
+}
+
+// Own tells of a daemon's own reads.
+type Own struct {
+	Fail   bool // it is a reader, and its reads fail
+	Served bool // it is a reader, and its reads succeed
 }
 
 // witnesses is the least number of daemons that must have answered, if there are as many.
@@ -91,10 +97,14 @@
 
 // Judge decides whether the store fails for all daemons: of the readers that have not ended more than half have
 // answered, as have enough daemons of any kind; one at least reports a failure, and none holds data younger than bound
-// or knows that the store serves others.
+// or knows that the store serves others. A reader that is served disproves an outage however old its data is, as that may
+// have been long on its way.
 func (r *Reports) Judge(now time.Time, f Fleet, of ReportTime, bound time.Duration) Verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if f.Own.Served {
+		return Verdict{Reason: ReaderServed}
+	}
 	answered, failing, others := 0, false, f.Others
 	for name, w := range r.byName {
 		if now.Sub(w.Asked) > TTL {
@@ -107,6 +117,8 @@
 			return Verdict{Reason: HeldYoung, By: name}
 		case w.Status == Limited:
 			return Verdict{Reason: StoreLimits, By: name}
+		case w.Served && slices.Contains(f.Readers, name):
+			return Verdict{Reason: ReaderServed, By: name}
 		case w.Status != Silent:
 			answered++
 			failing = failing || w.Status == Failing
@@ -126,7 +138,7 @@
 // missing reports whether too few of the readers have answered, and names one that has not; the caller holds the lock.
 func (r *Reports) missing(now time.Time, f Fleet) (silent string, few bool) {
 	running, answered := 0, 0
-	if f.Fails {
+	if f.Own.Fail {
 		running, answered = 1, 1
 	}
 	for _, name := range f.Readers {
--- a/outage/reports_test.go
+++ b/outage/reports_test.go
@@ -108,6 +108,22 @@
 	assert.Equal(t, outage.Verdict{Reason: outage.StoreLimits, By: "d"}, r.judge(fleet))
 }
 
+// Readers whose answers from the store were long on their way, and another one whose reads failed, attested an outage.
+func TestAReaderThatIsServedDisprovesAnOutage(t *testing.T) {
+	r := recorder{now: time.Now()}
+	r.report(outage.Failing, 3*time.Second, "a", "c")
+	r.report(outage.OK, 3*time.Second, "b")
+	fleet := outage.Fleet{Readers: []string{"a", "b"}, Others: 4}
+	assert.True(t, r.judge(fleet).Confirmed, "a reader that has not read yet knows nothing")
+	at := r.now.Add(-3 * time.Second)
+	r.Record("b", outage.Report{Status: outage.OK, Served: true, Asked: r.now, Catalog: at, Listed: at})
+	assert.Equal(t, outage.Verdict{Reason: outage.ReaderServed, By: "b"}, r.judge(fleet))
+	fleet.Readers = []string{"a"}
+	assert.True(t, r.judge(fleet).Confirmed, "one that reads now and then may not have read since")
+	fleet.Own = outage.Own{Served: true}
+	assert.Equal(t, outage.ReaderServed, r.judge(fleet).Reason)
+}
+
 // Daemons that have just started hold nothing, and answer.
 func TestStartingReadersAnswer(t *testing.T) {
 	r := recorder{now: time.Now()}
--- a/outage/verdict.go
+++ b/outage/verdict.go
@@ -10,6 +10,7 @@
 	NoReason      Reason = iota
 	HeldYoung            // a daemon holds younger data
 	StoreLimits          // the store limits the rate of a daemon's reads
+	ReaderServed         // a reader is served by the store
 	ReadersSilent        // too few of the readers answer
 	FewAnswers           // too few daemons answer
 	NoneFails            // no daemon reports a failure
@@ -17,7 +18,7 @@
 
 // String returns the reason for a log line.
 func (r Reason) String() string {
-	return [...]string{"", "younger data held", "store limits reads", "readers silent", "few answers", "no failure reported"}[r]
+	return [...]string{"", "younger data held", "store limits reads", "a reader is served", "readers silent", "few answers", "no failure reported"}[r]
 }
 
 // Verdict is a decision whether the store fails for all daemons.
