request, entry: a daemon that stops refuses what cannot end in time

Cause: a daemon that stops took requests as if it had all their time: six whose bodies ended 4.4 s after SIGTERM, and three over connections that the balancer opened after it. Nothing compared what a request takes with what is left of the grace period.

From the moment its last byte is there, and again whenever it is about to be sent or waits for an endpoint, a request that has been sent nowhere is compared with that: by the time within which nearly all requests of its route have ended, or, if nothing is known of the route, by its own deadline. What would not end is refused at once as not run (1105), without a Retry-After, as any other daemon can serve it. The same holds for what another daemon hands over, which relays it by the same code. Requests that were sent before the SIGTERM are left as they are.

--- a/request/attempt.go
+++ b/request/attempt.go
@@ -87,6 +87,9 @@
 			return Choice{}, err
 		}
 		now := r.Now()
+		if err := r.endsTooLate(now); err != nil {
+			return Choice{}, err
+		}
 		current, listed := r.opts.listed(now) // read before the choice, so that it does not belong to a newer list
 		c, ok := Choice{}, false
 		if listed {
--- a/request/relay_test.go
+++ b/request/relay_test.go
@@ -182,3 +182,59 @@
 		}
 	})
 }
+
+// A daemon that stops took requests as if it had all their time, and cut them at its end.
+func TestAStoppingServerRefusesAtOnceWhatCannotEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var mu sync.Mutex
+		arrived := make(map[string]int)
+		w := newRelayWorld(t, request.Defaults(), func(out http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body)
+			mu.Lock()
+			arrived[r.URL.Path]++
+			mu.Unlock()
+			if r.URL.Path == "/long" {
+				time.Sleep(2 * time.Second)
+			}
+		})
+		for i := range 20 {
+			w.ask(t, relayAsk{fmt.Sprint("long-", i), "/long", 5 * time.Second, true})
+			w.ask(t, relayAsk{fmt.Sprint("short-", i), "/short", 5 * time.Second, true})
+		}
+		before := make(chan int, 1)
+		go func() { before <- w.ask(t, relayAsk{"before", "/long", 5 * time.Second, true}) }()
+		synctest.Wait()
+		w.server.EndBy(time.Now().Add(time.Second))
+		began := time.Now()
+		for _, c := range []struct {
+			path   string
+			wait   time.Duration
+			status int
+		}{{"/long", 5 * time.Second, 0}, {"/short", 5 * time.Second, http.StatusOK}, {"/new", 5 * time.Second, 0}, {"/new", 500 * time.Millisecond, http.StatusOK}} {
+			assert.Equal(t, c.status, w.ask(t, relayAsk{c.path + c.wait.String(), c.path, c.wait, true}), "%s within %s", c.path, c.wait)
+		}
+		assert.Less(t, time.Since(began), 50*time.Millisecond)
+		assert.Equal(t, http.StatusOK, <-before)
+		mu.Lock()
+		defer mu.Unlock()
+		assert.Equal(t, map[string]int{"/long": 21, "/short": 21, "/new": 1}, arrived)
+	})
+}
+
+// A request that waits for an endpoint while its daemon begins to stop was sent and then cut.
+func TestARequestThatWaitsWhileItsServerStopsIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		opts := request.Defaults()
+		opts.Listed = func(now time.Time) (time.Time, bool) { return time.Time{}, false }
+		w := newRelayWorld(t, opts, func(out http.ResponseWriter, r *http.Request) { t.Error("sent") })
+		ended := make(chan time.Time)
+		go func() {
+			assert.Zero(t, w.ask(t, relayAsk{id: "a", path: "/long", wait: 5 * time.Second}))
+			ended <- time.Now()
+		}()
+		time.Sleep(300 * time.Millisecond)
+		began := time.Now()
+		w.server.EndBy(began.Add(time.Second))
+		assert.Less(t, (<-ended).Sub(began), 100*time.Millisecond)
+	})
+}
--- a/request/server.go
+++ b/request/server.go
@@ -26,6 +26,7 @@
 	Holds  *Holds
 
 	ends    endDetector
+	stopAt  atomic.Pointer[time.Time] // nil unless the server stops as planned
 	active  activeRuns
 	opts    Options
 	log     *logrus.Entry
@@ -220,6 +221,10 @@
 	}
 	for {
 		if r.pathLost() {
+			if err := r.endsTooLate(r.Now()); err != nil {
+				r.end(ctx, err)
+				return
+			}
 			if r.forward(ctx) {
 				return
 			}
--- a/request/settle.go
+++ b/request/settle.go
@@ -224,6 +224,9 @@
 	}
 	r.life.apply(event)
 	r.logEnd(now, nil)
+	if r.attempts == 1 {
+		r.work.Times.Record(r.req.Route.Name, r.endpointTime(now), r.probe)
+	}
 	if r.req.Relay != nil && r.req.Relay.Streaming {
 		r.answer.settle(nil)
 		return
@@ -232,7 +235,6 @@
 	first := r.answer.firstTokenAt().Sub(r.started)
 	if r.attempts == 1 {
 		r.work.Speed.Answered(first, r.endpointTime(now), u.CompletionTokens, u.PromptTokens-u.Details.CachedTokens)
-		r.work.Times.Record(r.req.Route.Name, r.endpointTime(now), r.probe)
 	}
 	r.answer.settle(nil)
 	if r.claimed {
