request, conn, entry: the position of a stream is one value

Cause: where a stream goes on was known in three places: the caller's header, a field for requests of other daemons alone, and the last event passed on, 0 before the first. A comment of the endpoint was taken for an event, and so the head was written; the daemon's own second attempt then replaced the caller's Last-Event-Id by 0.

Relay.Position is that one value: what the caller has, what another daemon says that it has, or the last event passed on, which each attempt goes on after; until it is known the caller's own header stays. 0 is a position like any other, between daemons too. Comments are no events: those before the first one are kept and written with it, so that the request can go elsewhere until then, neither shorten the wait for it nor bind the stream, and count for nothing. An endpoint that begins anew, though it was asked to go on, is now found by the position, and after an event without an id no other attempt continues.

--- a/conn/forward.go
+++ b/conn/forward.go
@@ -90,10 +90,11 @@
 	return u
 }
 
-// Event is one server-sent event, with its raw bytes.
+// Event is one server-sent event, or a comment, with its raw bytes.
 type Event struct {
-	ID  int64 // increases within a stream; -1 if the event has none
-	Raw []byte
+	ID      int64 // increases within a stream; -1 if the event has none
+	Comment bool  // no event, but comment lines alone
+	Raw     []byte
 }
 
 // Events reads server-sent events without parsing their data.
@@ -131,7 +132,7 @@
 // an event.
 func (e *Events) Next() (Event, error) {
 	e.buf = e.buf[:0]
-	ev := Event{ID: -1}
+	ev := Event{ID: -1, Comment: true}
 	for {
 		line, err := e.line()
 		if err == io.EOF && len(e.buf) > 0 {
@@ -141,6 +142,7 @@
 			return Event{}, err
 		}
 		blank := bytes.Equal(line, eventEnd) || bytes.Equal(line, crlf)
+		ev.Comment = ev.Comment && (blank || line[0] == ':')
 		if v, ok := bytes.CutPrefix(line, idField); ok {
 			if ev.ID, err = strconv.ParseInt(string(bytes.TrimSpace(v)), 10, 64); err != nil {
 				return Event{}, errors.Wrap(ErrMalformed, "event id")
--- a/conn/forward_test.go
+++ b/conn/forward_test.go
@@ -43,6 +43,30 @@
 	}
 }
 
+// A comment was taken for an event without an id.
+func TestCommentsAreNoEvents(t *testing.T) {
+	for in, comments := range map[string][]bool{
+		": waiting\n\nid: 1\ndata: a\n\n": {true, false},
+		": a\n: b\n\n: c\nid: 1\n\n:\n\n": {true, false, true},
+		"\n: waiting\n\ndata: a\n\n":      {true, false},
+		"data: a\n\n":                     {false},
+	} {
+		e := conn.NewEvents(strings.NewReader(in))
+		var out []byte
+		var got []bool
+		for {
+			ev, err := e.Next()
+			if err == io.EOF {
+				break
+			}
+			require.NoError(t, err, "%q", in)
+			out, got = append(out, ev.Raw...), append(got, ev.Comment)
+		}
+		assert.Equal(t, in, string(out))
+		assert.Equal(t, comments, got, "%q", in)
+	}
+}
+
 func FuzzEvents(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n\n"))
 	f.Fuzz(func(t *testing.T, in []byte) {
--- a/entry/codec.go
+++ b/entry/codec.go
@@ -22,8 +22,8 @@
 func (c *codec) Head(a request.Attempt) http.Header {
 	h := c.in.Clone()
 	s := platform.Send{Instance: a.Endpoint, Team: c.team, Left: a.Left, Urgency: c.urgency}
-	if a.Resume {
-		s.After = strconv.FormatInt(a.After, 10)
+	if a.Position.Known { // otherwise what the caller sent stays
+		s.After = strconv.FormatInt(a.Position.Event, 10)
 	}
 	s.SetHeaders(h)
 	return h
--- a/entry/forwarding.go
+++ b/entry/forwarding.go
@@ -214,7 +214,8 @@
 	WaitLimit    time.Duration       `codec:"w"`
 	Left         time.Duration       `codec:"l"`
 	Attempts     int                 `codec:"a"`
-	ResumeAfter  int64               `codec:"ra"`
+	ResumeAfter  int64               `codec:"ra"`           // id of the last event that the caller has
+	Resumes      bool                `codec:"rk,omitempty"` // it has one, also if its id is 0
 	Prefix       uint64              `codec:"px"`
 	Parts        []request.Part      `codec:"ps"`
 	PromptTokens int                 `codec:"pt"`
@@ -236,9 +237,7 @@
 		Left: a.Left, Attempts: a.Attempts, Prefix: x.Prefix, Parts: x.Parts, PromptTokens: x.PromptTokens, OutTokens: x.OutTokens,
 		Estimate: x.CallerEstimate,
 	}
-	if a.Resume {
-		m.ResumeAfter = a.After
-	}
+	m.Resumes, m.ResumeAfter = a.Position.Known, a.Position.Event
 	m.Stream, m.Bound, m.Version = streamID(r), x.Binding.State == request.Bound, x.Binding.Version
 	return m
 }
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -105,6 +106,16 @@
 	return o.resumable() && (o.call.After != "" || o.call.Resumes != "")
 }
 
+// position returns how far the caller has got in a stream that it takes up. An id that is no number is passed on with the
+// other headers.
+func (o *inboundRequest) position() request.Position {
+	event, err := strconv.ParseInt(o.call.After, 10, 64)
+	if err != nil || !o.resumable() {
+		return request.Position{}
+	}
+	return request.PositionAfter(event)
+}
+
 // target returns the path and query of a request as the caller sent them.
 func target(r *http.Request) string {
 	if strings.HasPrefix(r.RequestURI, "/") {
@@ -265,6 +276,7 @@
 		Prefix: prefixID(o.call.Parts), PromptTokens: o.call.In, OutTokens: expectedTokens(o.call), CallerEstimate: o.call.Hint,
 		Pause: o.route.Pause, WaitLimit: c.WaitLimit(o.route, name), Parts: parts(o.call.Parts),
 		Resumes:      o.call.Resumes,
+		Position:     o.position(),
 		OnStart:      func(at time.Time) { s.d.begun(team, at) },
 		OnFirstEvent: s.d.meters.measured,
 	}
--- a/request/forward.go
+++ b/request/forward.go
@@ -37,8 +37,7 @@
 type ForwardAttempt struct {
 	Left     time.Duration // until the request's deadline
 	Attempts int           // attempts that may still run
-	Resume   bool          // resume the stream after event After
-	After    int64
+	Position Position      // of the stream, which goes on after it
 }
 
 // ForwardResult is the answer of a daemon to which a request was sent.
@@ -114,7 +113,7 @@
 	dog := r.startWatchdog(Choice{First: 2 * minStallTimeout}, cancel)
 	defer dog.stop()
 	result, err := r.opts.Forwarder.Forward(ctx, name, r.req, ForwardAttempt{
-		Left: max(left-forwardMargin, time.Millisecond), Attempts: max(x.Attempts-r.startedAttempts, 1), Resume: x.headWritten, After: x.lastEvent,
+		Left: max(left-forwardMargin, time.Millisecond), Attempts: max(x.Attempts-r.startedAttempts, 1), Position: x.Position,
 	})
 	switch {
 	case err != nil:
--- a/request/relay.go
+++ b/request/relay.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -14,7 +13,6 @@
 
 	"streambend.example/clock"
 	"streambend.example/conn"
-	"streambend.example/crash"
 	"streambend.example/mechanism"
 	"streambend.example/pace"
 )
@@ -33,8 +31,7 @@
 type Attempt struct {
 	Endpoint string        // id of the only endpoint that may run the request
 	Left     time.Duration // time left until the request's deadline
-	Resume   bool          // resume the stream after event After
-	After    int64
+	Position Position      // of the stream, which goes on after it
 }
 
 // AnswerHead is the decoded head of an endpoint's answer.
@@ -66,7 +63,7 @@
 	Parts          []Part                              // parts of the prompt, in order
 	WaitLimit      time.Duration                       // maximum wait until an engine starts its prefill; 0 for no limit
 	Forwarded      bool                                // another daemon has sent the request through this one
-	ResumeAfter    int64                               // id of the event after which the stream is resumed; 0 for a new one
+	Position       Position                            // of the stream: first where the caller takes it up, then as events are passed on
 	Resumes        string                              // id of the request that began the stream, if its caller takes it up
 	Binding        Binding                             // to the version that began the stream
 	OnBound        func(version string)                // called before the first event is written, by the daemon that sends to endpoints; may be nil
@@ -74,9 +71,8 @@
 	OnStart        func(now time.Time)                 // called when an endpoint has started it; may be nil
 	OnFirstEvent   func(first, expected time.Duration) // called with an attempt's time to its first event; may be nil
 
-	headWritten   bool  // the answer's head has been written to the caller
-	streamed      bool  // a plain answer was too large to hold; no other attempt can continue it
-	lastEvent     int64 // id of the last event written to the caller
+	headWritten   bool // the answer's head has been written to the caller
+	streamed      bool // a part was passed on after which no other attempt can continue: of a plain answer, or an event without an id
 	startRecorded bool
 	failed        *failedAnswer
 }
@@ -140,7 +136,7 @@
 	chosen := r.started
 	resp, err := r.Client.Forward(ctx, conn.ForwardRequest{
 		Address: c.Target.Address, Method: r.req.Method, Target: r.req.Path, Host: x.Host,
-		Header: x.Codec.Head(Attempt{Endpoint: c.Target.ID, Left: left, Resume: x.headWritten || x.ResumeAfter > 0, After: x.lastEvent}),
+		Header: x.Codec.Head(Attempt{Endpoint: c.Target.ID, Left: left, Position: x.Position}),
 		Body:   r.req.Body, Fresh: r.req.Unrepeatable, Connected: func(reused bool) {
 			old.Stop()
 			r.recordConnected(c.Target, chosen, reused)
@@ -325,89 +321,3 @@
 	}
 	x.Out.WriteHeader(status)
 }
-
-// forwardEvents forwards a stream event by event. The head is written with the first
-// event, so that until then the request can be retried elsewhere. The choice has no endpoint if another daemon
-// has sent the request there, which then keeps the records of the endpoint.
-func (r *run) forwardEvents(ctx context.Context, c Choice, mark Mark, resp *http.Response, dog watchdog) (Ending, error) {
-	x := r.req.Relay
-	first, count, readBefore := true, 0, time.Duration(0)
-	events := conn.NewEvents(resp.Body)
-	events.Grow = r.req.Held.Grow
-	defer r.req.Held.shrinkTo(r.req.Held.size()) // of large events
-	flush := http.NewResponseController(x.Out)
-	for {
-		ev, err := events.Next()
-		dog.reset()
-		if err == io.EOF {
-			if !x.headWritten {
-				x.writeHead(resp.StatusCode, resp.Header)
-			}
-			r.succeeded = count > 0
-			if x.OnWhole != nil {
-				x.OnWhole()
-			}
-			if r.startedAttempts == 0 && c.Target != nil {
-				r.work.Pool.cost.LearnEvents(x.CallerEstimate, count)
-				now := r.Now()
-				r.work.Pool.RecordSlotTime(x.OutTokens, now.Sub(r.started)-r.first, c.Target.PrefillDone(now)-readBefore)
-			}
-			return EndedComplete, nil
-		}
-		if errors.Is(err, conn.ErrNoMemory) {
-			return EndedError, err // the endpoint is not at fault, and another would send the same event
-		}
-		if err != nil {
-			return r.endingOfCut(ctx), &conn.Failure{Sent: true, Err: err}
-		}
-		count++
-		r.events = count
-		if first {
-			first = false
-			now := r.Now()
-			r.first = now.Sub(r.started)
-			r.life.apply(eventStream)
-			if c.Target != nil {
-				readBefore = r.recordFirstEvent(now, c.Target, mark)
-			}
-		}
-		if c.Target != nil {
-			c.Target.recordData(r.opts.now)
-			if now, begun := r.Now(), r.started.Add(r.first); now.Sub(begun) >= crash.SurvivalTime {
-				r.reportSurvival(now, begun)
-			}
-		}
-		if ev.ID >= 0 && x.lastEvent > 0 && ev.ID <= x.lastEvent {
-			return EndedBroken, errEventOrder
-		}
-		if !x.headWritten {
-			resp.Header.Del("Content-Length") // the parts of a stream may come from several endpoints
-			x.bind(c, r.told)
-			x.writeHead(resp.StatusCode, resp.Header)
-		}
-		dog.pause()
-		r.toCaller(func() {
-			if _, err = x.Out.Write(ev.Raw); err == nil {
-				err = flush.Flush()
-			}
-		})
-		if err != nil {
-			return EndedBroken, errors.Wrap(errCallerWrite, err.Error())
-		}
-		dog.reset()
-		if ev.ID >= 0 {
-			x.lastEvent = ev.ID
-		}
-	}
-}
-
-// recordFirstEvent records that an endpoint has begun a stream, and returns its prefill time so far.
-func (r *run) recordFirstEvent(now time.Time, t *Target, mark Mark) time.Duration {
-	x := r.req.Relay
-	if x.OnFirstEvent != nil {
-		x.OnFirstEvent(r.first, r.expected)
-	}
-	x.recordStart(now)
-	t.Begun(now, mark)
-	return t.PrefillDone(now)
-}
--- a/request/relay_test.go
+++ b/request/relay_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -22,11 +23,18 @@
 	"streambend.example/version"
 )
 
+const lastEventID = "Last-Event-Id"
+
 // relayCodec is a protocol whose endpoints answer the request of an id, and have no headers of their own.
 type relayCodec struct{ id string }
 
 // Head implements request.Codec.
-func (relayCodec) Head(request.Attempt) http.Header { return http.Header{} }
+func (relayCodec) Head(a request.Attempt) http.Header {
+	if !a.Position.Known {
+		return http.Header{}
+	}
+	return http.Header{lastEventID: {fmt.Sprint(a.Position.Event)}}
+}
 
 // Read implements request.Codec.
 func (c relayCodec) Read(int, http.Header) request.AnswerHead {
@@ -238,3 +246,71 @@
 		assert.Less(t, (<-ended).Sub(began), 100*time.Millisecond)
 	})
 }
+
+// askStream relays a request for a stream that its caller has up to a position, and returns the body of the answer.
+func (w *relayWorld) askStream(t *testing.T, id string, has request.Position) (body string, err error) {
+	out := httptest.NewRecorder()
+	now := time.Now()
+	e := w.server.Relay(t.Context(), &request.Request{
+		ID: id, Service: w.service, Route: version.Route{Name: "stream"}, Arrived: now, Deadline: now.Add(20 * time.Second),
+		Path: "/stream", Method: http.MethodPost, Header: http.Header{}, Body: []byte("body"),
+		Relay: &request.Relay{Codec: relayCodec{id}, Out: out, Host: "some.example", Attempts: 3, Streaming: true, Position: has},
+	})
+	if e != nil {
+		return out.Body.String(), e
+	}
+	return out.Body.String(), nil
+}
+
+// A stream that its caller takes up began anew, as a comment or the event 0 was taken for no position.
+func TestAStreamGoesOnAfterWhatItsCallerHas(t *testing.T) {
+	const first = 0
+	for name, c := range map[string]struct {
+		has    request.Position
+		cuts   []int64    // last event of each attempt that is cut; below the position for none
+		asked  [][]string // Last-Event-Id of each attempt
+		events string
+	}{
+		"a new stream":               {request.Position{}, nil, [][]string{nil}, "0 1 2 3 4 5"},
+		"cut before its first event": {request.Position{}, []int64{-1}, [][]string{nil, nil}, "0 1 2 3 4 5"},
+		"cut after event 0":          {request.Position{}, []int64{0}, [][]string{nil, {"0"}}, "0 1 2 3 4 5"},
+		"taken up after event 0":     {request.PositionAfter(0), []int64{0}, [][]string{{"0"}, {"0"}}, "1 2 3 4 5"},
+		"taken up after event 3":     {request.PositionAfter(3), []int64{3, 4}, [][]string{{"3"}, {"3"}, {"4"}}, "4 5"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var asked [][]string
+				w := newRelayWorld(t, request.Defaults(), func(out http.ResponseWriter, r *http.Request) {
+					io.Copy(io.Discard, r.Body)
+					n := len(asked)
+					asked = append(asked, r.Header[lastEventID])
+					fmt.Fprint(out, ": waiting\n\n")
+					out.(http.Flusher).Flush()
+					next := int64(first)
+					if id := r.Header.Get(lastEventID); id != "" {
+						fmt.Sscan(id, &next)
+						next++
+					}
+					for ; next <= 5; next++ {
+						if n < len(c.cuts) && next > c.cuts[n] {
+							panic(http.ErrAbortHandler)
+						}
+						fmt.Fprintf(out, "id: %d\ndata: x\n\n", next)
+						out.(http.Flusher).Flush()
+					}
+				})
+				body, err := w.askStream(t, "a", c.has)
+				assert.NoError(t, err)
+				assert.Equal(t, c.asked, asked)
+				var ids []string
+				for _, line := range strings.Split(body, "\n") {
+					if id, ok := strings.CutPrefix(line, "id: "); ok {
+						ids = append(ids, id)
+					}
+				}
+				assert.Equal(t, c.events, strings.Join(ids, " "))
+				assert.True(t, strings.HasPrefix(body, ": waiting\n\nid: "), "%q", body)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/request/relaystream.go
@@ -0,0 +1,154 @@
+// SPDX-License-Identifier: MIT
+
+package request
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"streambend.example/conn"
+	"streambend.example/crash"
+)
+
+// streamRelay passes the stream of one attempt on to the caller. The choice has no endpoint if another daemon has sent the
+// request there, which then keeps the records of the endpoint.
+type streamRelay struct {
+	*run
+	choice Choice
+	mark   Mark
+	resp   *http.Response
+	dog    watchdog
+	flush  *http.ResponseController
+
+	prefilled time.Duration // the engine's prefill time at the first event
+	lead      []byte        // comments before the first event
+}
+
+// maxLead is the maximum size in bytes of the comments before the first event.
+const maxLead = 16 << 10
+
+var errLead = errors.Wrap(conn.ErrMalformed, "too many comments before the first event")
+
+// forwardEvents forwards a stream event by event. The head is written with the first
+// event, so that until then the request can be retried elsewhere.
+func (r *run) forwardEvents(ctx context.Context, c Choice, mark Mark, resp *http.Response, dog watchdog) (Ending, error) {
+	x := r.req.Relay
+	s := streamRelay{run: r, choice: c, mark: mark, resp: resp, dog: dog, flush: http.NewResponseController(x.Out)}
+	events := conn.NewEvents(resp.Body)
+	events.Grow = r.req.Held.Grow
+	defer r.req.Held.shrinkTo(r.req.Held.size()) // of large events
+	for {
+		ev, err := events.Next()
+		if err == nil && ev.Comment && !x.headWritten {
+			if s.lead = append(s.lead, ev.Raw...); len(s.lead) > maxLead {
+				return EndedBroken, errLead
+			}
+			continue // a comment does not end the wait for the first event
+		}
+		dog.reset()
+		switch {
+		case err == io.EOF:
+			s.end()
+			return EndedComplete, nil
+		case errors.Is(err, conn.ErrNoMemory):
+			return EndedError, err // the endpoint is not at fault, and another would send the same event
+		case err != nil:
+			return r.endingOfCut(ctx), &conn.Failure{Sent: true, Err: err}
+		}
+		s.record(ev)
+		if ev.ID >= 0 && x.Position.passed(ev.ID) {
+			return EndedBroken, errEventOrder
+		}
+		if err := s.pass(ev); err != nil {
+			return EndedBroken, errors.Wrap(errCallerWrite, err.Error())
+		}
+	}
+}
+
+// record records that the endpoint has sent an event or a comment.
+func (s *streamRelay) record(ev conn.Event) {
+	if !ev.Comment {
+		s.events++
+	}
+	if !ev.Comment && s.events == 1 {
+		now := s.Now()
+		s.first = now.Sub(s.started)
+		s.life.apply(eventStream)
+		if s.choice.Target != nil {
+			s.prefilled = s.recordFirstEvent(now, s.choice.Target, s.mark)
+		}
+	}
+	if s.choice.Target == nil {
+		return
+	}
+	s.choice.Target.recordData(s.opts.now)
+	if now, begun := s.Now(), s.started.Add(s.first); s.events > 0 && now.Sub(begun) >= crash.SurvivalTime {
+		s.reportSurvival(now, begun)
+	}
+}
+
+// pass writes an event or a comment to the caller, the first one with the answer's head.
+func (s *streamRelay) pass(ev conn.Event) (err error) {
+	x := s.req.Relay
+	if !x.headWritten {
+		s.resp.Header.Del("Content-Length") // the parts of a stream may come from several endpoints
+		x.bind(s.choice, s.told)
+		s.writeHead()
+	}
+	s.dog.pause()
+	s.toCaller(func() {
+		if _, err = x.Out.Write(ev.Raw); err == nil {
+			err = s.flush.Flush()
+		}
+	})
+	if err != nil {
+		return err
+	}
+	s.dog.reset()
+	switch {
+	case ev.ID >= 0:
+		x.Position = PositionAfter(ev.ID)
+	case !ev.Comment:
+		x.streamed = true
+	}
+	return nil
+}
+
+// writeHead writes the answer's head and the comments before the first event.
+func (s *streamRelay) writeHead() {
+	s.req.Relay.writeHead(s.resp.StatusCode, s.resp.Header)
+	s.toCaller(func() { s.req.Relay.Out.Write(s.lead) }) // an error shows at the next write
+	s.lead = nil
+}
+
+// end records that the stream is whole.
+func (s *streamRelay) end() {
+	x := s.req.Relay
+	if !x.headWritten {
+		s.writeHead()
+	}
+	s.succeeded = s.events > 0
+	if x.OnWhole != nil {
+		x.OnWhole()
+	}
+	if s.startedAttempts == 0 && s.choice.Target != nil {
+		s.work.Pool.cost.LearnEvents(x.CallerEstimate, s.events)
+		now := s.Now()
+		s.work.Pool.RecordSlotTime(x.OutTokens, now.Sub(s.started)-s.first, s.choice.Target.PrefillDone(now)-s.prefilled)
+	}
+}
+
+// recordFirstEvent records that an endpoint has begun a stream, and returns its prefill time so far.
+func (r *run) recordFirstEvent(now time.Time, t *Target, mark Mark) time.Duration {
+	x := r.req.Relay
+	if x.OnFirstEvent != nil {
+		x.OnFirstEvent(r.first, r.expected)
+	}
+	x.recordStart(now)
+	t.Begun(now, mark)
+	return t.PrefillDone(now)
+}
--- a/request/requestlog.go
+++ b/request/requestlog.go
@@ -57,8 +57,8 @@
 		if x.Resumes != "" {
 			f["resumes"] = x.Resumes
 		}
-		if x.lastEvent > 0 {
-			f["after_event"] = x.lastEvent
+		if x.Position.Known {
+			f["after_event"] = x.Position.Event
 		}
 	}
 	if c.Expected > 0 {
--- a/request/server.go
+++ b/request/server.go
@@ -104,7 +104,6 @@
 	defer cancel()
 	defer context.AfterFunc(s.baseCtx, cancel)()
 	a := NewAnswer(r.ID, 0, Snapshot{})
-	r.Relay.lastEvent = r.Relay.ResumeAfter
 	run := s.newRun(r, a)
 	defer s.active.add(run, cancel)()
 	run.serve(ctx)
