conn: blank lines at the end of a stream do not make it a cut one

A stream that ends with a blank line too many was taken for one that was cut within an event: its caller got no regular end, or the request went to another endpoint. Blank lines alone are passed on like a comment. TestCommentsAndBlankLinesAreNoEvents has the case, which failed before with unexpected EOF.

--- a/conn/forward.go
+++ b/conn/forward.go
@@ -93,7 +93,7 @@
 // Event is one server-sent event, or a comment, with its raw bytes.
 type Event struct {
 	ID      int64 // increases within a stream; -1 if the event has none
-	Comment bool  // no event, but comment lines alone
+	Comment bool  // no event: comment lines, or blank lines alone at the end of the stream
 	Raw     []byte
 }
 
@@ -132,9 +132,14 @@
 // an event.
 func (e *Events) Next() (Event, error) {
 	e.buf = e.buf[:0]
-	ev := Event{ID: -1, Comment: true}
+	ev, blanks := Event{ID: -1, Comment: true}, true
 	for {
+		from := len(e.buf)
 		line, err := e.line()
+		if err == io.EOF && blanks && 0 < from && from == len(e.buf) {
+			ev.Raw = e.buf
+			return ev, nil
+		}
 		if err == io.EOF && len(e.buf) > 0 {
 			err = io.ErrUnexpectedEOF
 		}
@@ -142,6 +147,7 @@
 			return Event{}, err
 		}
 		blank := bytes.Equal(line, eventEnd) || bytes.Equal(line, crlf)
+		blanks = blanks && blank
 		ev.Comment = ev.Comment && (blank || line[0] == ':')
 		if v, ok := bytes.CutPrefix(line, idField); ok {
 			if ev.ID, err = strconv.ParseInt(string(bytes.TrimSpace(v)), 10, 64); err != nil {
--- a/conn/forward_test.go
+++ b/conn/forward_test.go
@@ -43,13 +43,15 @@
 	}
 }
 
-// A comment was taken for an event without an id.
-func TestCommentsAreNoEvents(t *testing.T) {
+// A comment was taken for an event without an id, and a blank line too many at the end for a cut stream.
+func TestCommentsAndBlankLinesAreNoEvents(t *testing.T) {
 	for in, comments := range map[string][]bool{
-		": waiting\n\nid: 1\ndata: a\n\n": {true, false},
-		": a\n: b\n\n: c\nid: 1\n\n:\n\n": {true, false, true},
-		"\n: waiting\n\ndata: a\n\n":      {true, false},
-		"data: a\n\n":                     {false},
+		": waiting\n\nid: 1\ndata: a\n\n":  {true, false},
+		": a\n: b\n\n: c\nid: 1\n\n:\n\n":  {true, false, true},
+		"id: 1\ndata: a\n\n\n":             {false, true},
+		"id: 1\r\ndata: a\r\n\r\n\r\n\r\n": {false, true},
+		"\n: waiting\n\ndata: a\n\n":       {true, false},
+		"data: a\n\n":                      {false},
 	} {
 		e := conn.NewEvents(strings.NewReader(in))
 		var out []byte
