entry: a planned stop waits for requests that were taken over from other daemons

A caller's stream ended after 169 of 200 events: the daemon that it came to has no path to the endpoints and had handed it over, and the other one stopped as planned. It waits until its own callers' connections are closed; a request of another daemon comes over none of these, so that it was cut as soon as they were, up to five seconds before the end of the grace period.

The stop waits for all requests that run, within the grace period as before. TestAPlannedStopEndsWhatItHasTakenOver failed before.

--- a/entry/stop.go
+++ b/entry/stop.go
@@ -39,6 +39,7 @@
 	cancelWait()
 	d.callerListener.Close() // only the listener; the server goes on with its connections
 	open := d.closeIdle(ctx, true)
+	d.Server.Wait(ctx) // for requests that were taken over from other daemons, which have no connection of a caller
 	d.gossip(clock.Now())
 	d.Hub.Leave(time.Now())
 	sleep(context.Background(), leavePause)
