--- a/entry/stop.go
+++ b/entry/stop.go
@@ -39,11 +39,11 @@
 	cancelWait()
 	d.callerListener.Close() // only the listener; the server goes on with its connections
 	open := d.closeIdle(ctx, true)
-	d.Server.Wait(ctx) // for requests that were taken over from other daemons, which have no connection of a caller
+	late := d.Server.Wait(ctx) // for requests that were taken over from other daemons, which have no connection of a caller
 	d.gossip(clock.Now())
 	d.Hub.Leave(time.Now())
 	sleep(context.Background(), leavePause)
-	d.log.WithField("part", "process").Infof("stop: after %s, %d connections still active", time.Since(began).Round(time.Millisecond), open)
+	d.log.WithField("part", "process").Infof("stop: after %s, %d connections still active, end of running requests: %v", time.Since(began).Round(time.Millisecond), open, late)
 	d.Kill()
 }
 
