request, entry, platform: what a daemon holds of an endpoint is made at its first use

Each target had a list of cached prefixes, a map of requests, its load and its advertised state from the start. They are made at first use; what an endpoint has advertised is read from a shared zero state until then. The channel of an endpoint that leaves was closed and never read, and goes.

--- a/entry/runners.go
+++ b/entry/runners.go
@@ -5,8 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"maps"
-	"slices"
 	"sync"
 	"time"
 
@@ -40,16 +38,21 @@
 
 	mu        sync.Mutex
 	list      *replica.Copy[[]byte] // the endpoints' entries
-	byID      map[string]platform.Runner
+	byID      map[string]*listedEndpoint
 	packed    pieceCache // pieces of list for other daemons
 	changes   changeLogger
-	missing   map[string]bool      // entries that disappeared around an outage of the store
-	unnamed   map[string]bool      // endpoints of services that the catalog does not name
-	invalid   map[string]int64     // store versions of invalid entries, as last logged
-	readAt    time.Time            // when the first complete list arrived; zero before
-	found     map[string]time.Time // when each endpoint was found
-	failedAt  time.Time            // the last failure of the store, or its recovery after that
-	storeDown bool                 // the store has not answered since failedAt
+	missing   map[string]bool  // entries that disappeared around an outage of the store
+	unnamed   map[string]bool  // endpoints of services that the catalog does not name
+	invalid   map[string]int64 // store versions of invalid entries, as last logged
+	readAt    time.Time        // when the first complete list arrived; zero before
+	failedAt  time.Time        // the last failure of the store, or its recovery after that
+	storeDown bool             // the store has not answered since failedAt
+}
+
+// listedEndpoint is an endpoint in the list.
+type listedEndpoint struct {
+	platform.Runner
+	found time.Time
 }
 
 // maxInvalid is the maximum number of invalid entries that are remembered as logged.
@@ -58,8 +61,8 @@
 func newEndpointTracker(d *Daemon) endpointTracker {
 	list := replica.New(instanceOf(d.Self), transferTTL, bytes.Equal)
 	return endpointTracker{
-		d: d, fresh: &list.Fresh, list: list, byID: make(map[string]platform.Runner),
-		missing: make(map[string]bool), unnamed: make(map[string]bool), invalid: make(map[string]int64), found: make(map[string]time.Time),
+		d: d, fresh: &list.Fresh, list: list, byID: make(map[string]*listedEndpoint),
+		missing: make(map[string]bool), unnamed: make(map[string]bool), invalid: make(map[string]int64),
 	}
 }
 
@@ -131,19 +134,23 @@
 
 // set adds or updates an endpoint. The caller holds the lock.
 func (k *endpointTracker) set(now time.Time, r platform.Runner) {
-	old, known := k.byID[r.ID]
+	e, known := k.byID[r.ID]
+	if !known {
+		e = &listedEndpoint{}
+	}
+	old := e.Runner
 	if known && r.Born != 0 && r.Born < old.Born {
 		k.changes.log(r, "entry of an earlier start ignored", logrus.Fields{"present": old.Born})
 		return
 	}
 	delete(k.missing, r.ID)
-	k.byID[r.ID] = r
+	k.byID[r.ID], e.Runner = e, r
 	restarted := known && !old.SameStart(r)
 	if restarted {
 		k.endStart(old)
 	}
 	if !known || restarted {
-		k.found[r.ID] = now
+		e.found = now
 		k.changes.log(r, "endpoint found", logrus.Fields{"again": restarted})
 	}
 	t := k.addToPool(r)
@@ -189,7 +196,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	for id := range k.unnamed {
-		r := k.byID[id]
+		r := k.byID[id].Runner
 		if t := k.addToPool(r); t != nil && r.Leaving {
 			t.Leave(now.Add(max(r.LeavesIn, k.d.Site().Bounds.Drain)))
 		}
@@ -208,18 +215,19 @@
 		k.d.log.WithFields(logrus.Fields{"part": "endpoints", "endpoint": row.Key, "version": row.Version, "reason": bad.Reason}).
 			Warnf("invalid entry ignored: %s", bad.Detail)
 	}
-	if r, ok := k.byID[row.Key]; ok {
-		k.drop(row.Key, r)
+	if e, ok := k.byID[row.Key]; ok {
+		k.drop(row.Key, e.Runner)
 	}
 }
 
 // entryRemoved drops an endpoint whose entry was removed, or marks it as missing if an outage of the
 // store may be the cause: other daemons, which may have had none, need not keep it. The caller holds the lock.
 func (k *endpointTracker) entryRemoved(now time.Time, id string) {
-	r, ok := k.byID[id]
+	e, ok := k.byID[id]
 	if !ok {
 		return
 	}
+	r := e.Runner
 	if !k.failedAt.IsZero() && now.Sub(k.failedAt) < missingGrace && !r.Leaving {
 		if !k.missing[id] {
 			k.changes.log(r, "entry missing after an outage of the store, endpoint still used", nil)
@@ -234,7 +242,6 @@
 func (k *endpointTracker) drop(id string, r platform.Runner) {
 	delete(k.byID, id)
 	delete(k.missing, id)
-	delete(k.found, id)
 	if !k.unnamed[id] {
 		k.d.work(r.Service).Pool.Forget(id)
 	}
@@ -252,7 +259,7 @@
 	k.changes.begin(k.d.log, len(k.missing))
 	defer k.changes.end()
 	for id := range k.missing {
-		k.drop(id, k.byID[id])
+		k.drop(id, k.byID[id].Runner)
 	}
 }
 
@@ -306,30 +313,34 @@
 		return -1, 1
 	}
 	n := 0
-	for _, at := range k.found {
-		if now.Sub(at) < span {
+	for _, e := range k.byID {
+		if now.Sub(e.found) < span {
 			n++
 		}
 	}
-	return now.Sub(k.readAt), float64(n) / float64(max(len(k.found), 1))
+	return now.Sub(k.readAt), float64(n) / float64(max(len(k.byID), 1))
 }
 
 // listedFor returns the time since an endpoint was found, or 0 if it is unknown.
 func (k *endpointTracker) listedFor(now time.Time, id string) time.Duration {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	at, ok := k.found[id]
+	e, ok := k.byID[id]
 	if !ok {
 		return 0
 	}
-	return now.Sub(at)
+	return now.Sub(e.found)
 }
 
 // all returns the known endpoints.
 func (k *endpointTracker) all() []platform.Runner {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return slices.Collect(maps.Values(k.byID))
+	out := make([]platform.Runner, 0, len(k.byID))
+	for _, e := range k.byID {
+		out = append(out, e.Runner)
+	}
+	return out
 }
 
 // memory returns the cache size in tokens of a service's engines, or 0 if it is unknown.
--- a/request/advertised.go
+++ b/request/advertised.go
@@ -56,11 +56,32 @@
 	return max(until.Sub(now), 0)
 }
 
+// nothingSaid is the state of all endpoints that have advertised nothing. It is only read.
+var nothingSaid advertisedState
+
+// said returns the endpoint's advertised state, to be read.
+func (t *Target) said() *advertisedState {
+	if s := t.advertised.Load(); s != nil {
+		return s
+	}
+	return &nothingSaid
+}
+
+// says returns the endpoint's advertised state, to be changed.
+func (t *Target) says() *advertisedState {
+	if s := t.advertised.Load(); s != nil {
+		return s
+	}
+	t.advertised.CompareAndSwap(nil, &advertisedState{})
+	return t.advertised.Load()
+}
+
 // Limit returns the rate limit that the endpoint advertises, in requests per second over all daemons.
 func (t *Target) Limit() pace.Limit {
-	t.advertised.mu.Lock()
-	defer t.advertised.mu.Unlock()
-	return t.advertised.limit
+	s := t.said()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.limit
 }
 
 // queuedBeside is the number of requests that may wait at an endpoint that must not reject any, so that its slots do
@@ -74,21 +95,26 @@
 	if brittle {
 		room = t.slots() + queuedBeside
 	}
-	t.advertised.mu.Lock()
-	defer t.advertised.mu.Unlock()
-	l, tell = t.advertised.limit.Update(perSecond, room)
-	t.advertised.set(l)
+	s := t.says()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l, tell = s.limit.Update(perSecond, room)
+	s.set(l)
 	return l, tell
 }
 
 // MergeLimit records a limit announced by another daemon, and reports whether it supersedes the known one.
 func (t *Target) MergeLimit(l pace.Limit) bool {
-	t.advertised.mu.Lock()
-	defer t.advertised.mu.Unlock()
-	if !l.Supersedes(t.advertised.limit) {
+	if !l.Supersedes(t.Limit()) {
+		return false
+	}
+	s := t.says()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !l.Supersedes(s.limit) {
 		return false
 	}
-	t.advertised.set(l)
+	s.set(l)
 	return true
 }
 
@@ -155,7 +181,7 @@
 func (w *ServiceStates) Limited() (n int) {
 	for _, k := range w.All() {
 		for _, t := range k.Pool.Targets() {
-			if t.advertised.rateLimited.Load() {
+			if t.said().rateLimited.Load() {
 				n++
 			}
 		}
@@ -172,20 +198,20 @@
 	byHash map[uint64]*advertisedState
 }
 
-// keep stores the state of an endpoint instance; a full memory is emptied first.
+// keep stores the state of an endpoint instance, nil for none; a full memory is emptied first.
 func (m *stateMemory) keep(hash uint64, s *advertisedState) {
+	if s == nil {
+		return
+	}
 	if m.byHash == nil || len(m.byHash) >= stateMemorySize {
 		m.byHash = make(map[uint64]*advertisedState)
 	}
 	m.byHash[hash] = s
 }
 
-// take removes and returns the stored state of an endpoint instance, or returns an empty one.
+// take removes and returns the stored state of an endpoint instance, nil for none.
 func (m *stateMemory) take(hash uint64) *advertisedState {
 	s := m.byHash[hash]
-	if s == nil {
-		return &advertisedState{}
-	}
 	delete(m.byHash, hash)
 	return s
 }
@@ -199,14 +225,14 @@
 		if t.excluded.Load() || !t.takes(n.Trial) || !n.Binding.allows(t.Version) {
 			continue
 		}
-		from, shut := t.advertised.acceptsFrom(now)
+		from, shut := t.said().acceptsFrom(now)
 		if !shut {
 			continue
 		}
 		if !ok || from.Before(at) {
 			at, ok = from, true
 		}
-		if g := t.advertised.sendInterval(); g > 0 {
+		if g := t.said().sendInterval(); g > 0 {
 			perSecond += 1 / g.Seconds()
 		}
 	}
--- a/request/backlog.go
+++ b/request/backlog.go
@@ -42,17 +42,15 @@
 	mu            sync.Mutex
 	pending       time.Duration // prefill time pending at the time at
 	at            time.Time
-	added         time.Duration // prefill time added in total
-	pace          float64       // the engine's prefill time relative to the service's
-	parts         *simplelru.LRU[uint64, int]
-	cachedTokens  int // tokens of the tracked parts
-	cacheCapacity int // capacity for cached tokens; 0 for no bound
+	added         time.Duration               // prefill time added in total
+	pace          float64                     // the engine's prefill time relative to the service's
+	parts         *simplelru.LRU[uint64, int] // nil before the first one
+	cachedTokens  int                         // tokens of the tracked parts
+	cacheCapacity int                         // capacity for cached tokens; 0 for no bound
 }
 
-func newBacklog(cost *PrefillCost, memory int) *Backlog {
-	b := &Backlog{cost: cost, pace: 1, cacheCapacity: int(cacheShare * float64(memory))}
-	b.parts, _ = simplelru.NewLRU(maxCachedParts, func(_ uint64, tokens int) { b.cachedTokens -= tokens }) // fails only for a size below 1
-	return b
+func newBacklog(cost *PrefillCost, memory int) Backlog {
+	return Backlog{cost: cost, pace: 1, cacheCapacity: int(cacheShare * float64(memory))}
 }
 
 // Left returns the pending prefill time of the engine.
@@ -98,7 +96,7 @@
 	kept, total := true, 0
 	for i, p := range parts {
 		total += p.Tokens
-		kept = kept && b.parts.Contains(p.ID)
+		kept = kept && b.parts != nil && b.parts.Contains(p.ID)
 		if kept {
 			continue
 		}
@@ -142,6 +140,9 @@
 
 // cachePart records a shared part as cached; the caller holds the lock.
 func (b *Backlog) cachePart(p Part) {
+	if b.parts == nil {
+		b.parts, _ = simplelru.NewLRU(maxCachedParts, func(_ uint64, tokens int) { b.cachedTokens -= tokens }) // fails only for a size below 1
+	}
 	if b.parts.Contains(p.ID) {
 		b.parts.Get(p.ID) // marks it as recently used
 		return
--- a/request/endpointstate.go
+++ b/request/endpointstate.go
@@ -30,16 +30,19 @@
 
 // State returns the known advertised state of the endpoint.
 func (t *Target) State(now time.Time) EndpointState {
-	t.advertised.mu.Lock()
-	defer t.advertised.mu.Unlock()
-	rest := max(t.advertised.backoff.left(now), t.advertised.othersBackoff.left(now))
-	return EndpointState{Endpoint: t.hash, Limit: t.advertised.limit, Leaves: t.advertised.leaves, Rest: rest}
+	s := t.said()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rest := max(s.backoff.left(now), s.othersBackoff.left(now))
+	return EndpointState{Endpoint: t.hash, Limit: s.limit, Leaves: s.leaves, Rest: rest}
 }
 
 // MergeState merges the state announced by another daemon. An endpoint that leaves ends after left.
 func (t *Target) MergeState(now time.Time, w EndpointState, left time.Duration) {
 	t.MergeLimit(w.Limit)
-	t.advertised.othersBackoff.extend(now.Add(w.Rest))
+	if w.Rest > 0 {
+		t.says().othersBackoff.extend(now.Add(w.Rest))
+	}
 	if w.Leaves {
 		t.RecordLeaving(now, left)
 	}
@@ -48,10 +51,11 @@
 // RecordLeaving records that the endpoint itself advertises that it leaves, and reports whether that is
 // new. It overrides the registry entry of this instance.
 func (t *Target) RecordLeaving(now time.Time, left time.Duration) (fresh bool) {
-	t.advertised.mu.Lock()
-	fresh = !t.advertised.leaves
-	t.advertised.leaves = true
-	t.advertised.mu.Unlock()
+	s := t.says()
+	s.mu.Lock()
+	fresh = !s.leaves
+	s.leaves = true
+	s.mu.Unlock()
 	t.Leave(now.Add(left))
 	return fresh
 }
@@ -64,7 +68,8 @@
 // RecordBackoff records that the endpoint asked this daemon to back off for d. It reports whether to
 // announce it to other daemons, which is not needed while a back-off is already known.
 func (t *Target) RecordBackoff(now time.Time, d time.Duration) (tell bool) {
-	tell = t.advertised.backoff.left(now) == 0 && t.advertised.othersBackoff.left(now) == 0
-	t.advertised.backoff.extend(now.Add(d + backoffSlack))
+	s := t.says()
+	tell = s.backoff.left(now) == 0 && s.othersBackoff.left(now) == 0
+	s.backoff.extend(now.Add(d + backoffSlack))
 	return tell
 }
--- a/request/plainchoice.go
+++ b/request/plainchoice.go
@@ -52,6 +52,14 @@
 	timedAt time.Time
 }
 
+// callLoad returns what calls tell about the endpoint, to be changed; the caller holds the lock.
+func (t *Target) callLoad() *callLoad {
+	if t.calls == nil {
+		t.calls = &callLoad{}
+	}
+	return t.calls
+}
+
 // record adds a report. It comes with an answer and counts the answered request, which leaves the endpoint.
 func (c *callLoad) record(now time.Time, load int) {
 	others := float64(max(load-1, 0))
@@ -69,7 +77,7 @@
 func (t *Target) RecordFull(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.calls.fullAt = now
+	t.callLoad().fullAt = now
 }
 
 // RecordCall records the time of a successful plain call of this daemon, given the service's usual time.
@@ -79,7 +87,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := &t.calls
+	c := t.callLoad()
 	weight := 1.0
 	if c.last > t.batch && now.Sub(c.at) < took {
 		weight = waitedWeight
@@ -111,8 +119,12 @@
 func (t *Target) plainCandidate(usual float64) plainCandidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	var load callLoad
+	if t.calls != nil {
+		load = *t.calls
+	}
 	c := plainCandidate{
-		target: t, callTime: usual * t.calls.ownFactor(), slots: float64(t.batch), load: t.calls,
+		target: t, callTime: usual * load.ownFactor(), slots: float64(t.batch), load: load,
 		last: float64(t.reported + t.sentSinceReport), own: float64(t.ownLoad.Load()),
 		ramp: math.Max(float64(math.Float32frombits(t.ramp.Load())), rampStart),
 	}
--- a/request/pool.go
+++ b/request/pool.go
@@ -105,7 +105,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if t, ok := p.byID[id]; ok {
-		p.savedStates.keep(t.hash, t.advertised)
+		p.savedStates.keep(t.hash, t.advertised.Load())
 		delete(p.byID, id)
 		p.list.Store(nil)
 	}
--- a/request/target.go
+++ b/request/target.go
@@ -61,14 +61,14 @@
 type Target struct {
 	Endpoint
 	hash         uint64
-	ownLoad      atomic.Int32  // in-flight requests of this daemon
-	poolLoad     *atomic.Int64 // the same at all endpoints of the pool
-	load         atomic.Int32  // estimated in-flight requests of all daemons
-	excluded     atomic.Bool   // excluded from routing: leaving or ejected
-	softEjected  atomic.Bool   // ejected only because requests failed that it had accepted
-	ramp         atomic.Uint32 // share of the load bound allowed after an ejection, as float bits
-	advertised   *advertisedState
-	backlog      *Backlog
+	ownLoad      atomic.Int32                    // in-flight requests of this daemon
+	poolLoad     *atomic.Int64                   // the same at all endpoints of the pool
+	load         atomic.Int32                    // estimated in-flight requests of all daemons
+	excluded     atomic.Bool                     // excluded from routing: leaving or ejected
+	softEjected  atomic.Bool                     // ejected only because requests failed that it had accepted
+	ramp         atomic.Uint32                   // share of the load bound allowed after an ejection, as float bits
+	advertised   atomic.Pointer[advertisedState] // nil before it has advertised anything
+	backlog      Backlog
 	holds        *slotTimeModel // of the service
 	places       SlotUsage      // slots used by other daemons
 	hasCompleted atomic.Bool    // it has completed a request of this daemon
@@ -82,18 +82,17 @@
 	class           Class
 	batch           int
 	reported        int
-	reportedAt      time.Time     // of the report
-	reportTTL       time.Duration // validity of the report
-	sentSinceReport int           // requests sent since the report
-	deadline        time.Time     // of a leaving box
-	leavingCh       chan struct{} // closed when the endpoint starts leaving
-	failures        int           // consecutive failures
-	ejectedUntil    time.Time     // end of the ejection
-	ejectedFor      time.Duration // length of the last ejection
-	meanPace        float64       // moving average of the time per token, or per plain call, relative to the usual one
-	paceSamples     int           // answers in meanPace
-	calls           callLoad      // what load reports tell about plain calls
-	flights         map[*Flight]struct{}
+	reportedAt      time.Time            // of the report
+	reportTTL       time.Duration        // validity of the report
+	sentSinceReport int                  // requests sent since the report
+	deadline        time.Time            // of a leaving box
+	failures        int                  // consecutive failures
+	ejectedUntil    time.Time            // end of the ejection
+	ejectedFor      time.Duration        // length of the last ejection
+	meanPace        float64              // moving average of the time per token, or per plain call, relative to the usual one
+	paceSamples     int                  // answers in meanPace
+	calls           *callLoad            // what load reports tell about plain calls; nil before the first report or call
+	flights         map[*Flight]struct{} // nil before the first one
 }
 
 // A load report from the endpoint is valid for loadReportTTL. A class from another daemon is valid for
@@ -110,9 +109,10 @@
 		batch = e.Slots
 	}
 	t := &Target{
-		Endpoint: e, hash: e.Hash(), batch: max(batch, 1), advertised: s, poolLoad: &p.inFlight,
-		backlog: newBacklog(&p.cost, e.Memory), holds: &p.holds, leavingCh: make(chan struct{}), flights: make(map[*Flight]struct{}),
+		Endpoint: e, hash: e.Hash(), batch: max(batch, 1), poolLoad: &p.inFlight,
+		backlog: newBacklog(&p.cost, e.Memory), holds: &p.holds,
 	}
+	t.advertised.Store(s)
 	t.ramp.Store(math.Float32bits(1))
 	return t
 }
@@ -124,7 +124,7 @@
 	if batch > 0 {
 		t.batch = batch
 	}
-	t.calls.record(now, load)
+	t.callLoad().record(now, load)
 	t.reported, t.reportedAt, t.sentSinceReport, t.reportTTL = load, now, 0, loadReportTTL
 	if t.class != Leaving {
 		t.class = ClassOf(t.class, load, t.batch)
@@ -193,9 +193,13 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.sentSinceReport++
-	if f != nil {
-		t.flights[f] = struct{}{}
+	if f == nil {
+		return
+	}
+	if t.flights == nil {
+		t.flights = make(map[*Flight]struct{})
 	}
+	t.flights[f] = struct{}{}
 }
 
 // recentlySent returns the decaying count of requests sent by this daemon.
@@ -238,7 +242,6 @@
 	t.class, t.deadline = Leaving, deadline
 	t.softEjected.Store(false)
 	t.excluded.Store(true)
-	close(t.leavingCh)
 	for f := range t.flights {
 		flights = append(flights, f)
 	}
