--- a/entry/fulllinks_test.go
+++ b/entry/fulllinks_test.go
@@ -43,9 +43,10 @@
 	full map[string]bool // zones whose links are full
 	over time.Time
 
-	mu      sync.Mutex
-	away    map[int]bool // daemons that stop or start
-	leaving []leavingEndpoint
+	mu       sync.Mutex
+	away     map[int]bool // daemons that stop or start
+	leaving  []leavingEndpoint
+	restarts sync.WaitGroup
 }
 
 type leavingEndpoint struct {
@@ -85,7 +86,7 @@
 			}
 			var i int
 			fmt.Sscanf(reader.Name, "daemon-%d", &i)
-			go p.stopAndStart(i)
+			p.restarts.Go(func() { p.stopAndStart(i) })
 			time.Sleep(500 * time.Millisecond)
 		}
 		time.Sleep(800 * time.Millisecond)
@@ -157,6 +158,7 @@
 	w.demand(upTo(len(w.daemons)), 120, 20*time.Second, p.askPresent)
 	wg.Wait()
 	time.Sleep(12 * time.Second)
+	p.restarts.Wait()
 	for _, e := range p.leaving {
 		assert.Zero(t, countFrom(e.ArrivalTimes(), e.at.Add(bound)), "%s", e.Instance)
 	}
