quota: an owner that has just started books requests that wait for its own reserve

TestNobodyBelowALimitIsRefusedAfterAFullRestart was seen to fail once in review, at 60 daemons beside load: one of 38 requests refused 0.33 s after the start, for a team at half of its limit.

Traced with the owner's levels in the log of a scratch copy: each daemon starts with half of its even share of the burst, 166 of 20,000 units. When the owner grants for the first time, 0.28 s later, it takes 0.28 s of the rate (5,674 units) from its level for what others may have admitted and not reported, and is back at 166. Three or four requests that come within the next 20 ms wait 1.7, 2.7, 14 and 26 ms. The first three are booked and held where they came in; the last one is small and waits for more than 20 ms, so that it was refused, although nobody had used the units.

While a process is this new, a request that waits for no longer than what is set aside lasts is booked whatever its size.

--- a/quota/buckets.go
+++ b/quota/buckets.go
@@ -25,6 +25,7 @@
 }
 
 type bucket struct {
+	began time.Time // when this process made it
 	level float64
 	at    time.Time
 	rate  float64
@@ -69,7 +70,7 @@
 func (q *Buckets) bucket(now time.Time, l Limit, share float64) *bucket {
 	b := q.buckets[l.Team]
 	if b == nil {
-		b = &bucket{level: l.Burst, at: now, exactAt: now, rate: l.Rate, burst: l.Burst}
+		b = &bucket{began: now, level: l.Burst, at: now, exactAt: now, rate: l.Rate, burst: l.Burst}
 		if !q.first {
 			b.level *= restartFraction * share
 		}
--- a/quota/buckets_test.go
+++ b/quota/buckets_test.go
@@ -59,3 +59,15 @@
 		now = now.Add(time.Second)
 	}
 }
+
+// Guards against refusals by an owner that has just started, of a team far below its limit whose requests coincide.
+func TestUnitsKeptForUnreportedAdmissionsMakeNoRefusal(t *testing.T) {
+	q, now := quota.New(false), start
+	team := quota.Limit{Team: "team", Rate: 20000, Burst: 20000}
+	q.Levels(now, []quota.Limit{team}, 1.0/60)
+	now = now.Add(280 * time.Millisecond)
+	for key := range uint64(6) {
+		g := q.Grant(now, team, quota.Query{Units: 200, Key: key, Wait: 500 * time.Millisecond}, 1)
+		assert.True(t, g.OK || g.Booked, "request %d", key)
+	}
+}
--- a/quota/grant.go
+++ b/quota/grant.go
@@ -53,7 +53,7 @@
 		return Grant{OK: true, Claimed: found}
 	}
 	g := Grant{Wait: max(b.bookings.earliest(now, b.level, rate, b.burst, ask.Units), minRetryAfter)}
-	if g.Wait <= ask.Wait && (ask.Units >= bookedSize*b.burst || g.Wait <= shortWait) {
+	if g.Wait <= ask.Wait && (ask.Units >= bookedSize*b.burst || g.Wait <= shortWait || b.startReserve(now, g.Wait, rate)) {
 		g.Booked = b.bookings.add(now.Add(g.Wait), ask.Key, ask.Units, rate)
 	}
 	return g
@@ -71,6 +71,12 @@
 	claimSlack = 0.02
 )
 
+// startReserve reports whether a request waits only because a process that has just started sets units aside for
+// admissions that it has no reports of: the team may be far below its limit.
+func (b *bucket) startReserve(now time.Time, wait time.Duration, rate float64) bool {
+	return now.Sub(b.began) < unseenTTL && wait <= seconds(b.unseen/max(rate, 1e-3))
+}
+
 // take takes the units of a granted request from the bucket.
 func (b *bucket) take(now time.Time, ask Query) {
 	b.level -= ask.Units
