--- a/request/advertised.go
+++ b/request/advertised.go
@@ -56,19 +56,19 @@
 	return max(until.Sub(now), 0)
 }
 
-// nothingSaid is the state of all endpoints that have advertised nothing. It is only read.
-var nothingSaid advertisedState
+// nothingAdvertised is the state of all endpoints that have advertised nothing. It is only read.
+var nothingAdvertised advertisedState
 
-// said returns the endpoint's advertised state, to be read.
-func (t *Target) said() *advertisedState {
+// readAdvertised returns the endpoint's advertised state, to be read.
+func (t *Target) readAdvertised() *advertisedState {
 	if s := t.advertised.Load(); s != nil {
 		return s
 	}
-	return &nothingSaid
+	return &nothingAdvertised
 }
 
-// says returns the endpoint's advertised state, to be changed.
-func (t *Target) says() *advertisedState {
+// ensureAdvertised returns the endpoint's advertised state, to be changed.
+func (t *Target) ensureAdvertised() *advertisedState {
 	if s := t.advertised.Load(); s != nil {
 		return s
 	}
@@ -78,7 +78,7 @@
 
 // Limit returns the rate limit that the endpoint advertises, in requests per second over all daemons.
 func (t *Target) Limit() pace.Limit {
-	s := t.said()
+	s := t.readAdvertised()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.limit
@@ -95,7 +95,7 @@
 	if brittle {
 		room = t.slots() + queuedBeside
 	}
-	s := t.says()
+	s := t.ensureAdvertised()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	l, tell = s.limit.Update(perSecond, room)
@@ -108,7 +108,7 @@
 	if !l.Supersedes(t.Limit()) {
 		return false
 	}
-	s := t.says()
+	s := t.ensureAdvertised()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !l.Supersedes(s.limit) {
@@ -181,7 +181,7 @@
 func (w *ServiceStates) Limited() (n int) {
 	for _, k := range w.All() {
 		for _, t := range k.Pool.Targets() {
-			if t.said().rateLimited.Load() {
+			if t.readAdvertised().rateLimited.Load() {
 				n++
 			}
 		}
@@ -225,14 +225,14 @@
 		if t.excluded.Load() || !t.takes(n.Trial) || !n.Binding.allows(t.Version) {
 			continue
 		}
-		from, shut := t.said().acceptsFrom(now)
+		from, shut := t.readAdvertised().acceptsFrom(now)
 		if !shut {
 			continue
 		}
 		if !ok || from.Before(at) {
 			at, ok = from, true
 		}
-		if g := t.said().sendInterval(); g > 0 {
+		if g := t.readAdvertised().sendInterval(); g > 0 {
 			perSecond += 1 / g.Seconds()
 		}
 	}
--- a/request/endpointstate.go
+++ b/request/endpointstate.go
@@ -30,7 +30,7 @@
 
 // State returns the known advertised state of the endpoint.
 func (t *Target) State(now time.Time) EndpointState {
-	s := t.said()
+	s := t.readAdvertised()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	rest := max(s.backoff.left(now), s.othersBackoff.left(now))
@@ -41,7 +41,7 @@
 func (t *Target) MergeState(now time.Time, w EndpointState, left time.Duration) {
 	t.MergeLimit(w.Limit)
 	if w.Rest > 0 {
-		t.says().othersBackoff.extend(now.Add(w.Rest))
+		t.ensureAdvertised().othersBackoff.extend(now.Add(w.Rest))
 	}
 	if w.Leaves {
 		t.RecordLeaving(now, left)
@@ -51,7 +51,7 @@
 // RecordLeaving records that the endpoint itself advertises that it leaves, and reports whether that is
 // new. It overrides the registry entry of this instance.
 func (t *Target) RecordLeaving(now time.Time, left time.Duration) (fresh bool) {
-	s := t.says()
+	s := t.ensureAdvertised()
 	s.mu.Lock()
 	fresh = !s.leaves
 	s.leaves = true
@@ -68,7 +68,7 @@
 // RecordBackoff records that the endpoint asked this daemon to back off for d. It reports whether to
 // announce it to other daemons, which is not needed while a back-off is already known.
 func (t *Target) RecordBackoff(now time.Time, d time.Duration) (tell bool) {
-	s := t.says()
+	s := t.ensureAdvertised()
 	tell = s.backoff.left(now) == 0 && s.othersBackoff.left(now) == 0
 	s.backoff.extend(now.Add(d + backoffSlack))
 	return tell
--- a/request/permit.go
+++ b/request/permit.go
@@ -25,7 +25,7 @@
 // permit reports whether the request may be sent to the chosen endpoint: it takes a permit if the endpoint
 // advertises a rate limit.
 func (r *run) permit(ctx context.Context, c *Choice) bool {
-	s := c.Target.said()
+	s := c.Target.readAdvertised()
 	if r.opts.Permits == nil || !s.rateLimited.Load() {
 		return true
 	}
@@ -97,7 +97,7 @@
 // logInvalid logs invalid advertised values, unless the value was the last one logged for its kind.
 func (r *run) logInvalid(t *Target, bad []pace.InvalidValue) {
 	for _, b := range bad {
-		if t.says().recordInvalid(b) {
+		if t.ensureAdvertised().recordInvalid(b) {
 			r.log.WithFields(logrus.Fields{"endpoint": t.ID, "value": b.Value, "request": r.req.ID}).
 				Warnf("ignored an invalid %s advertised by the endpoint", b.What)
 		}
--- a/request/plainchoice.go
+++ b/request/plainchoice.go
@@ -52,8 +52,8 @@
 	timedAt time.Time
 }
 
-// callLoad returns what calls tell about the endpoint, to be changed; the caller holds the lock.
-func (t *Target) callLoad() *callLoad {
+// ensureCallLoad returns what calls tell about the endpoint, to be changed; the caller holds the lock.
+func (t *Target) ensureCallLoad() *callLoad {
 	if t.calls == nil {
 		t.calls = &callLoad{}
 	}
@@ -77,7 +77,7 @@
 func (t *Target) RecordFull(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.callLoad().fullAt = now
+	t.ensureCallLoad().fullAt = now
 }
 
 // RecordCall records the time of a successful plain call of this daemon, given the service's usual time.
@@ -87,7 +87,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := t.callLoad()
+	c := t.ensureCallLoad()
 	weight := 1.0
 	if c.last > t.batch && now.Sub(c.at) < took {
 		weight = waitedWeight
--- a/request/route.go
+++ b/request/route.go
@@ -133,10 +133,10 @@
 	if t.excluded.Load() && !(n.Ejected && t.softEjected.Load()) || t == n.Avoid || !t.takes(n.Trial) || !n.Binding.allows(t.Version) {
 		return false
 	}
-	if !n.AllowBackedOff && t.said().othersBackoff.left(n.At) > 0 {
+	if !n.AllowBackedOff && t.readAdvertised().othersBackoff.left(n.At) > 0 {
 		return false
 	}
-	_, shut := t.said().acceptsFrom(n.At)
+	_, shut := t.readAdvertised().acceptsFrom(n.At)
 	return !shut
 }
 
--- a/request/target.go
+++ b/request/target.go
@@ -124,7 +124,7 @@
 	if batch > 0 {
 		t.batch = batch
 	}
-	t.callLoad().record(now, load)
+	t.ensureCallLoad().record(now, load)
 	t.reported, t.reportedAt, t.sentSinceReport, t.reportTTL = load, now, 0, loadReportTTL
 	if t.class != Leaving {
 		t.class = ClassOf(t.class, load, t.batch)
