entry, request: only daemons that collect crashes blame parts of prompts

What callers saw: in a fleet of more than 12 daemons, requests with a part that crashes engines were sent on again after the part had been held back, and each crashed two more engines; sound requests that share a part with them were refused for a quarter of a second.

Cause: reports of crashes and of survivals go to the zones' readers in a large fleet, but every daemon evaluated parts by its own ledger.

Ruled out: a survival of the crashing part (none in the trace); a lost report (all readers had all 11 crashes).

Now daemons that are not sent the crashes of others only hold back what they are told of, and one that becomes a reader waits until parts in use have been reported to survive. Contents are judged by all as before: three crashes with one content are evidence by themselves.

--- a/crash/cause.go
+++ b/crash/cause.go
@@ -33,6 +33,16 @@
 	}
 }
 
+// Expire deletes expired records. A daemon that does not evaluate calls it instead.
+func (l *Ledger) Expire(now time.Time) {
+	if l.partCount.Load() == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.evictParts(now)
+}
+
 // supersede removes the verdicts whose crashes are all explained by another one. The caller holds the lock.
 func (l *Ledger) supersede(now time.Time, by Fingerprint) (ended []Fingerprint) {
 	for p := range l.verdicts {
@@ -54,7 +64,7 @@
 	most := 0
 	for _, s := range l.parts {
 		at, ok := s.causeAt()
-		if !ok || now.Sub(at) < partVerdictDelay || s.contents() < minContents || !l.explainsMore(s) {
+		if !ok || now.Sub(at) < PartVerdictDelay || s.contents() < minContents || !l.explainsMore(s) {
 			continue
 		}
 		n := len(s.crashes())
--- a/crash/part.go
+++ b/crash/part.go
@@ -14,9 +14,9 @@
 	// SurvivalTime is how long an endpoint must have lived on after the first event of an answer to show that the parts
 	// of its prompt do not crash it. Endpoints that crash on a part do so as they begin to answer.
 	SurvivalTime = 500 * time.Millisecond
-	// partVerdictDelay is how long after the crash that makes a part a cause its verdict waits: by then a part that
+	// PartVerdictDelay is how long after the crash that makes a part a cause its verdict waits: by then a part that
 	// is in use elsewhere has begun an answer, survived it, and this has been reported.
-	partVerdictDelay = 1200 * time.Millisecond
+	PartVerdictDelay = 1200 * time.Millisecond
 	// minContents is the number of different requests with a part that must have been in flight: what one request
 	// crashes is blamed on its content.
 	minContents = 2
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -21,7 +21,7 @@
 
 func (d *Daemon) holdShare() request.HoldTransport {
 	return request.HoldTransport{
-		Partial: d.largeFleet, AwaitKnown: !d.Site().First,
+		Partial: d.largeFleet, Collects: d.collectsCrashes, AwaitKnown: !d.Site().First,
 		ReportEnd: d.sendCrash, Forward: d.forwardCrash, Table: d.table, WallClock: func(now time.Time) time.Time { return d.wall.At(now) },
 		Broadcast:      func(p conn.Payload) { d.Hub.Broadcast(p) },
 		SendNeighbours: func(p conn.Payload) { d.sendToAll(d.Hub.Mesh.NeighbourNames(), p) },
@@ -41,6 +41,9 @@
 	}
 }
 
+// collectsCrashes reports whether the crashes that other daemons detect are sent to this daemon.
+func (d *Daemon) collectsCrashes() bool { return !d.largeFleet() || d.isReader() }
+
 // forwardCrash forwards crash reports from a daemon of this reader's zone.
 func (d *Daemon) forwardCrash(from string, p conn.Payload) {
 	if d.largeFleet() && d.isReader() && d.inZone(from) {
--- a/request/holds.go
+++ b/request/holds.go
@@ -22,6 +22,7 @@
 	ReportEnd      func(conn.Payload)                // sends to the daemons that collect ends of endpoints
 	Forward        func(from string, p conn.Payload) // forwards a report to those of them that its sender does not reach; nil for never
 	Partial        func() bool                       // reports whether ends are sent to some daemons only; nil for no
+	Collects       func() bool                       // reports whether this daemon is sent the ends that others see; nil for yes
 	Broadcast      func(conn.Payload)                // sends to all daemons
 	SendNeighbours func(conn.Payload)                // sends to the daemons that this one has links with
 	Table          seam.Table                        // stores verdicts beyond the end of all daemons; nil for none
@@ -43,6 +44,8 @@
 	Ended    atomic.Int64    // endpoints that this daemon has seen end while requests were running
 	claiming atomic.Bool     // a trial is being claimed
 
+	evaluateFrom time.Time // parts are not evaluated before; used by Evaluate alone
+
 	began    time.Time
 	known    chan struct{} // closed once the verdicts from before the start are known
 	setKnown sync.Once
@@ -116,8 +119,17 @@
 	h.storeVerdict(v)
 }
 
-// Evaluate publishes new verdicts on parts of prompts.
+// Evaluate publishes new verdicts on parts of prompts, at the daemons that collect ends of endpoints. The others have seen
+// few of the ends and survivals, among which a part that came with the cause may look like it. A daemon that has begun to
+// collect waits until parts in use elsewhere have been reported to survive. It is called by one goroutine at a time.
 func (h *Holds) Evaluate(now time.Time) {
+	if h.share.Collects != nil && !h.share.Collects() {
+		h.evaluateFrom = now.Add(crash.PartVerdictDelay)
+	}
+	if now.Before(h.evaluateFrom) {
+		h.Ledger.Expire(now)
+		return
+	}
 	fresh, ended := h.Ledger.Evaluate(now)
 	for _, v := range fresh {
 		h.publish(now, v, logrus.Fields{"with": len(v.With)}, "requests with a part in their prompts held back: it crashes endpoints")
