crash: an answer from before a part crashed endpoints ends no verdict where crashes are missing

One crash and one answer between it and the verdict, known late as the answer's events are far apart, ended a verdict on four crashes at all daemons.

A ledger that knows fewer crashes than the verdict counts no longer tells. An answer that began after the verdict ends it as before. The new test failed before.

--- a/crash/part_test.go
+++ b/crash/part_test.go
@@ -164,6 +164,21 @@
 	assert.False(t, held)
 }
 
+// Guards against an answer from before a part began to crash endpoints that ends its verdict at a daemon which has seen few
+// of the crashes.
+func TestAnEarlierAnswerEndsNoVerdictWhereCrashesAreMissing(t *testing.T) {
+	p := newPartPlay()
+	p.crash([]string{"first", "crashing"})
+	p.pass(3 * time.Second)
+	p.Merge(p.now, crash.Verdict{Print: partOf("crashing"), Crashes: 4, NextTrial: p.now.Add(time.Minute), Until: p.now.Add(time.Hour)})
+	p.pass(time.Second)
+	_, ended := p.Survived(p.now, crash.Survival{Parts: partsOf("crashing"), Age: 3 * time.Second})
+	assert.Empty(t, ended)
+	assert.True(t, p.held("crashing"))
+	p.survives("crashing") // began after the verdict
+	assert.False(t, p.held("crashing"))
+}
+
 // Guards against a verdict that comes back with the message of a daemon that did not know of its end yet.
 func TestAnEndedVerdictDoesNotComeBack(t *testing.T) {
 	p := newPartPlay()
--- a/crash/survival.go
+++ b/crash/survival.go
@@ -84,13 +84,14 @@
 }
 
 // survivedPart records that an endpoint has survived a part, and reports whether that ends a verdict: its answer began after
-// the verdict, or after so many of the crashes that the others prove nothing. The caller holds the lock.
+// the verdict, or after so many of the crashes that the others prove nothing. A ledger that lacks some of the verdict's crashes
+// cannot tell the latter. The caller holds the lock.
 func (l *Ledger) survivedPart(now time.Time, p Fingerprint, begun time.Time) (ended bool) {
 	v, held := l.verdicts[p]
 	before, proved := l.crashesOf(p), true
 	if s := l.parts[p]; s != nil {
 		s.survive(begun)
-		if len(s.crashes()) < len(before) {
+		if len(s.crashes()) < len(before) && len(before) >= v.Crashes {
 			_, proved = s.causeAt()
 		}
 	}
