--- a/entry/crashpart_test.go
+++ b/entry/crashpart_test.go
@@ -114,6 +114,7 @@
 	sound         []soundResult
 	fifth         time.Time
 	began         time.Time // first crashing prompt
+	log           *worldLog
 }
 
 const soundPerSecond = 50
@@ -124,6 +125,7 @@
 	}
 	inWorldOf(t, p.daemons, p.prepare, func(w *world) {
 		pw := &partWorld{world: w, spared: p.turns}
+		out.log = &w.log
 		for range 30 {
 			pw.engine()
 		}
@@ -233,6 +235,9 @@
 	assert.LessOrEqual(t, o.late, maxSends)
 	assert.GreaterOrEqual(t, float64(whole), minSoundShare*float64(all))
 	assert.GreaterOrEqual(t, float64(same), minSoundShare*float64(allSame))
+	if t.Failed() {
+		o.log.save(t)
+	}
 }
 
 // oneOf returns a function that chooses some parts at random.
