estimate, request: a daemon that stops judges a request by its own size

What callers saw: a stopping daemon took long streams, passed them on and cut them at its end, 7.7 s after the SIGTERM, if the streams of their route had been short before: 59 of 60 in virtual time.

Cause: the bound on a request's time was that of its route, mean and three deviations, whatever the request says of its own size. Rests of streams that callers had taken up, and failures, were samples of it too; one long stream among many short ones was far outside of it; and endpoints that had slowed showed only once a stream had ended there.

Evidence: one short stream before is enough to let 60 of 60 long ones be cut, and with 30 long ones before none is, so neither too few samples nor a check that is passed by explains it.

Why it works: times are kept by route and size class. A size without samples takes its bound from smaller ones in proportion and from larger ones as they are; without any it may take until its deadline. The longest request of the last one to two minutes counts, and so do those that are still running, at the pace of their events. Only whole and good answers are samples.

--- a/estimate/doc.go
+++ b/estimate/doc.go
@@ -1,12 +1,18 @@
 // SPDX-License-Identifier: MIT
 
-// Package estimate estimates how long the requests of a service take, by route, and decides what may be refused for that
-// alone.
+// Package estimate estimates how long the requests of a service take, by route and size, and decides what may be refused
+// for that alone.
 //
-// The load it answers: a service whose routes take from 10 ms to seconds, of which some are added later and some change
-// their time; a request that its estimate says cannot end in time is refused at once. What is refused gives no sample, so
-// that an estimate that is wrong would refuse for ever. Therefore a route has samples of its own, without
-// which nothing is refused, and Probe lets some requests through that the estimate refuses.
+// The load it answers: a service whose routes take from 10 ms to seconds, also within one route; routes that are added later
+// or change their time; requests that say how many tokens they have. Each decision has an estimate of its own:
+//
+//   - Bound, what a request takes at most, for refusing one that would be cut at the end of a planned stop. It rests on requests
+//     of the same size, as those of a route may differ by ten times.
+//   - Expect, the mean, for refusing one that cannot end before its deadline, for the work that waits in a queue and for
+//     comparing endpoints.
+//
+// What is refused gives no sample, so that a wrong estimate would refuse for ever. Therefore nothing is refused without
+// recent samples, and Probe lets some requests through that the estimate refuses.
 //
 //	if took := times.Expect(route); now.Add(took).After(deadline) && !times.Probe(now, route) { ... }
 //
--- a/estimate/times.go
+++ b/estimate/times.go
@@ -11,7 +11,8 @@
 )
 
 const (
-	// maxRoutes is the number of routes whose times are remembered, at some 150 bytes each.
+	// maxRoutes is the number of routes whose times are remembered, at some 350 bytes each and 200 for each size class
+	// that occurs.
 	maxRoutes = 1024
 	// steadySamples is the number of samples up to which an average is the plain mean. Beyond it the weight of a
 	// sample stays the same.
@@ -35,7 +36,8 @@
 // routeTimes are the times of one route.
 type routeTimes struct {
 	average
-	probed time.Time // the last probe
+	sizes  [maxClasses]*sizeTimes // by size class; nil before the first request
+	probed time.Time              // the last probe
 }
 
 // average is a mean with its mean deviation, in seconds.
@@ -54,7 +56,10 @@
 	a.mean += weight * (x - a.mean)
 }
 
-func (a *average) time() time.Duration { return time.Duration(a.mean * float64(time.Second)) }
+func (a *average) time() time.Duration { return duration(a.mean) }
+
+// duration converts seconds.
+func duration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
 
 // route returns the times of a route, and remembers it; the caller holds the lock.
 func (t *Times) route(name string) *routeTimes {
@@ -69,16 +74,26 @@
 	return r
 }
 
-// Record records how long a request took; probe is true for one that Probe let through.
-func (t *Times) Record(route string, took time.Duration, probe bool) {
+// Sample is a request that has ended well.
+type Sample struct {
+	Size   int // in tokens; 0 if it is not known
+	Took   time.Duration
+	Events int  // of a stream
+	Probe  bool // Probe has let it through
+}
+
+// Record records a request of a route.
+func (t *Times) Record(now time.Time, route string, s Sample) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	weight := 0.0
-	if probe {
+	if s.Probe {
 		weight = probeWeight
 	}
-	t.route(route).add(took.Seconds(), weight)
-	t.all.add(took.Seconds(), weight)
+	r := t.route(route)
+	r.add(s.Took.Seconds(), weight)
+	r.ofSize(s.Size).record(now, s, weight)
+	t.all.add(s.Took.Seconds(), weight)
 }
 
 // Expect returns the mean time of a route's requests, 0 if it is not known.
@@ -108,17 +123,19 @@
 	return 0
 }
 
-// Bound returns a time within which nearly all of a route's requests end; ok is false if it is not known. With few
-// samples it is further from their mean.
-func (t *Times) Bound(route string) (bound time.Duration, ok bool) {
+// Bound returns a time within which nearly all requests of a route and size end; ok is false if it is not known.
+func (t *Times) Bound(now time.Time, route string, size int) (bound time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.route(route)
-	if r.samples == 0 {
-		return 0, false
-	}
-	deviation := math.Max(r.deviation, r.mean/math.Sqrt(float64(r.samples)))
-	return time.Duration((r.mean + boundDeviations*deviation) * float64(time.Second)), true
+	seconds, ok := t.route(route).bound(now, size)
+	return duration(seconds), ok
+}
+
+// Events returns the mean number of events of the streams of a route and size, 0 if it is not known.
+func (t *Times) Events(route string, size int) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.route(route).ofSize(size).events
 }
 
 // Probe reports whether a request that only its expected time refuses is let through, so that the time can be learned
--- a/estimate/times_test.go
+++ b/estimate/times_test.go
@@ -24,7 +24,7 @@
 		}
 		if takes < timeout {
 			served++
-			times.Record(route, takes, refused)
+			times.Record(now, route, estimate.Sample{Took: takes, Probe: refused})
 		}
 	}
 	return sent, served
@@ -56,7 +56,8 @@
 func TestNearlyAllRequestsEndWithinTheBound(t *testing.T) {
 	for _, samples := range []int{1, 3, 20, 200} {
 		var times estimate.Times
-		_, ok := times.Bound("a")
+		now := time.Unix(1000, 0)
+		_, ok := times.Bound(now, "a", 0)
 		assert.False(t, ok)
 		draw, beyond := uint64(1), 0
 		next := func() time.Duration { // evenly from 0.4 to 1.6 s
@@ -64,9 +65,9 @@
 			return 400*ms + time.Duration(draw>>33%1200)*ms
 		}
 		for range samples {
-			times.Record("a", next(), false)
+			times.Record(now, "a", estimate.Sample{Took: next()})
 		}
-		bound, ok := times.Bound("a")
+		bound, ok := times.Bound(now, "a", 0)
 		assert.True(t, ok)
 		for range 1000 {
 			if next() > bound {
@@ -81,7 +82,7 @@
 func TestTheUsualTimeOfAnUnknownRouteIsThatOfAll(t *testing.T) {
 	var times estimate.Times
 	assert.Zero(t, times.Usual("a"))
-	times.Record("a", 100*ms, false)
+	times.Record(time.Unix(1000, 0), "a", estimate.Sample{Took: 100 * ms})
 	assert.Equal(t, 100*ms, times.Usual("b"))
 	assert.Zero(t, times.Expect("b"))
 }
@@ -89,10 +90,10 @@
 // A single answer does not establish the usual time, by which endpoints are ejected as slow.
 func TestASteadyTimeNeedsSeveralAnswers(t *testing.T) {
 	var times estimate.Times
-	times.Record("a", 5*ms, false)
+	times.Record(time.Unix(1000, 0), "a", estimate.Sample{Took: 5 * ms})
 	assert.Zero(t, times.Steady("a"))
 	for range 30 {
-		times.Record("a", 60*ms, false)
+		times.Record(time.Unix(1000, 0), "a", estimate.Sample{Took: 60 * ms})
 	}
 	assert.InDelta(t, 60, times.Steady("a").Milliseconds(), 5)
 }
--- a/request/activeruns.go
+++ b/request/activeruns.go
@@ -37,6 +37,61 @@
 	return len(s.active.cancels)
 }
 
+// progress is how far the current attempt of a request has got.
+type progress struct {
+	mu                sync.Mutex
+	sent, first, last time.Time // of the attempt, its first event and its last one
+	events            int
+}
+
+func (p *progress) begin(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.sent, p.first, p.last, p.events = now, time.Time{}, time.Time{}, 0
+}
+
+func (p *progress) add(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.events++; p.events == 1 {
+		p.first = now
+	}
+	p.last = now
+}
+
+// minProjectedEvents is the number of events from which on the pace of a stream tells when it ends.
+const minProjectedEvents = 4
+
+// total returns how long the attempt takes in all, at least: for as long as it has been running, or at its pace until it has
+// the given number of events.
+func (p *progress) total(now time.Time, events float64) time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.sent.IsZero() {
+		return 0
+	}
+	running := now.Sub(p.sent)
+	if p.events < minProjectedEvents {
+		return running
+	}
+	pace := float64(p.last.Sub(p.first)) / float64(p.events-1)
+	return max(running, p.first.Sub(p.sent)+time.Duration(pace*(events-1)))
+}
+
+// longest returns how long the longest of the running requests of a route takes in all, at least, of those of known size that are no
+// larger than r, or of unknown size if that of r is not known.
+func (s *activeRuns) longest(now time.Time, r *Request) (longest time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for x := range s.cancels {
+		size := x.req.size()
+		if x.req != r && x.req.Route.Name == r.Route.Name && size <= r.size() && (size == 0) == (r.size() == 0) {
+			longest = max(longest, x.progress.total(now, x.work.Times.Events(x.req.Route.Name, size)))
+		}
+	}
+	return longest
+}
+
 // CancelOverdue cancels the requests whose time expired while the box was suspended, and returns their number.
 func (s *Server) CancelOverdue(now time.Time) (ended int) {
 	s.active.mu.Lock()
--- a/request/plainchoice_test.go
+++ b/request/plainchoice_test.go
@@ -159,7 +159,7 @@
 	e.running--
 	took := now.Sub(c.arrived)
 	if c.sends == 1 {
-		s.times[c.daemon].Record("call", took, false)
+		s.times[c.daemon].Record(now, "call", estimate.Sample{Took: took})
 	}
 	if !c.arrived.Before(s.countFrom) {
 		e.served++
--- a/request/relaystream.go
+++ b/request/relaystream.go
@@ -73,6 +73,7 @@
 func (s *streamRelay) record(ev conn.Event) {
 	if !ev.Comment {
 		s.events++
+		s.progress.add(s.Now())
 	}
 	if !ev.Comment && s.events == 1 {
 		now := s.Now()
--- a/request/request.go
+++ b/request/request.go
@@ -175,6 +175,12 @@
 	return r.Model.Max
 }
 
+// promptTokensPerToken is how many tokens of a prompt an engine processes in the time of one token of the answer, at least.
+const promptTokensPerToken = 64
+
+// size returns the size by which the time of the request is estimated, in tokens of the answer; 0 if it is not known.
+func (r *Request) size() int { return r.expectOut() + r.PromptTokens()/promptTokensPerToken }
+
 // BodyHash returns a hash of the request's content, which distinguishes a repeat from
 // a different request with the same key.
 func (r *Request) BodyHash() uint64 {
--- a/request/server.go
+++ b/request/server.go
@@ -176,7 +176,10 @@
 	claim           Claim
 	claimed         bool
 	ticket          Ticket
-	probe           bool          // only its expected time would have refused it
+	probe           bool      // only its expected time would have refused it
+	continues       bool      // its caller takes up a stream, of which only the rest is answered
+	firstSent       time.Time // when the first attempt was sent
+	progress        progress
 	started         time.Time     // when the last attempt was sent
 	expected        time.Duration // time to its first event, as predicted; 0 if not known
 	expectedWait    time.Duration // the part of it before its prefill
@@ -196,7 +199,8 @@
 }
 
 func (s *Server) newRun(r *Request, a *Answer) *run {
-	return &run{Server: s, req: r, answer: a, life: NewLife(), work: s.Works.Get(&r.Service), print: r.Print()}
+	continues := r.Relay != nil && (r.Relay.Position.Known || r.Relay.Resumes != "")
+	return &run{Server: s, req: r, answer: a, life: NewLife(), work: s.Works.Get(&r.Service), print: r.Print(), continues: continues}
 }
 
 // serve runs a request from admission to its end.
--- a/request/settle.go
+++ b/request/settle.go
@@ -11,6 +11,7 @@
 
 	"streambend.example/code"
 	"streambend.example/conn"
+	"streambend.example/estimate"
 	"streambend.example/mechanism"
 )
 
@@ -224,8 +225,8 @@
 	}
 	r.life.apply(event)
 	r.logEnd(now, nil)
-	if r.attempts == 1 {
-		r.work.Times.Record(r.req.Route.Name, r.endpointTime(now), r.probe)
+	if r.attempts == 1 && r.succeeded && !r.continues {
+		r.work.Times.Record(now, r.req.Route.Name, estimate.Sample{Size: r.req.size(), Took: r.endpointTime(now), Events: r.events, Probe: r.probe})
 	}
 	if r.req.Relay != nil && r.req.Relay.Streaming {
 		r.answer.settle(nil)
