request: a queued request that cannot end is refused as its daemon begins to stop

What callers saw: a request that waited in the queue at the SIGTERM was refused only when its turn came, seconds later, though it was clear at once that it could not end.

Cause: the end of the daemon was looked at when a request arrived at its endpoint's choice, and nothing woke what waited before that.

Why it works: the beginning of a stop wakes what waits in the queue; each request compares its bound with what is left then, and again when that may have changed.

--- a/request/server.go
+++ b/request/server.go
@@ -10,7 +10,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"streambend.example/clock"
 	"streambend.example/code"
 	"streambend.example/conn"
 	"streambend.example/crash"
@@ -26,7 +25,7 @@
 	Holds  *Holds
 
 	ends    endDetector
-	stopAt  atomic.Pointer[time.Time] // nil unless the server stops as planned
+	stop    plannedStop
 	active  activeRuns
 	opts    Options
 	log     *logrus.Entry
@@ -176,9 +175,8 @@
 	claim           Claim
 	claimed         bool
 	ticket          Ticket
-	probe           bool      // only its expected time would have refused it
-	continues       bool      // its caller takes up a stream, of which only the rest is answered
-	firstSent       time.Time // when the first attempt was sent
+	probe           bool // only its expected time would have refused it
+	continues       bool // its caller takes up a stream, of which only the rest is answered
 	progress        progress
 	started         time.Time     // when the last attempt was sent
 	expected        time.Duration // time to its first event, as predicted; 0 if not known
@@ -256,6 +254,9 @@
 // admit waits until the service's queue admits the request.
 func (r *run) admit(ctx context.Context) *code.Error {
 	now := r.Now()
+	if err := r.endsTooLate(now); err != nil {
+		return err
+	}
 	r.life.apply(eventQueue)
 	if !r.pathLost() { // otherwise the daemon that the request is sent through checks it
 		r.Holds.awaitKnown(ctx)
@@ -276,21 +277,42 @@
 	if err := r.work.Queue.Enter(now, &r.ticket); err != nil {
 		return err
 	}
-	timer := time.NewTimer(max(r.req.Deadline.Sub(now)-r.ticket.Expect, clock.LeastTimer))
-	defer timer.Stop()
-	select {
-	case <-r.ticket.Ready():
+	if granted := r.awaitGrant(ctx, now); granted {
 		return r.ticket.Err()
-	case <-timer.C:
-	case <-ctx.Done():
 	}
 	r.work.Queue.Leave(r.Now(), &r.ticket)
 	if err := r.ticket.Err(); err != nil {
 		return err
 	}
+	if err := r.endsTooLate(r.Now()); err != nil {
+		return err
+	}
 	return code.New(code.DeadlineTooNear, "queued until the deadline was too near").After(r.ticket.Expect)
 }
 
+// awaitGrant waits until the ticket is granted or refused, or reports false once the request cannot be served in time.
+func (r *run) awaitGrant(ctx context.Context, now time.Time) bool {
+	timer := time.NewTimer(r.nextCheck(now))
+	defer timer.Stop()
+	stopping := r.stop.began()
+	for {
+		select {
+		case <-r.ticket.Ready():
+			return true
+		case <-ctx.Done():
+			return false
+		case <-stopping:
+			stopping = nil
+		case <-timer.C:
+		}
+		now = r.Now()
+		if !now.Add(r.ticket.Expect).Before(r.req.Deadline) || r.endsTooLate(now) != nil {
+			return false
+		}
+		timer.Reset(r.nextCheck(now))
+	}
+}
+
 // expect returns the expected service time of the request, 0 if it is not known.
 func (r *run) expect() time.Duration {
 	if r.req.IsModel() {
--- a/request/stop.go
+++ b/request/stop.go
@@ -3,19 +3,56 @@
 package request
 
 import (
+	"sync"
 	"time"
 
+	"streambend.example/clock"
 	"streambend.example/code"
 )
 
+// plannedStop is when the server stops as planned. The zero value is ready to use.
+type plannedStop struct {
+	mu      sync.Mutex
+	at      time.Time // zero unless the server stops
+	started chan struct{}
+}
+
+// end returns when the server stops; ok is false unless it does.
+func (p *plannedStop) end() (at time.Time, ok bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.at, !p.at.IsZero()
+}
+
+// began returns a channel that is closed once the server begins to stop.
+func (p *plannedStop) began() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.started == nil {
+		p.started = make(chan struct{})
+	}
+	return p.started
+}
+
+// begin sets when the server stops.
+func (p *plannedStop) begin(at time.Time) {
+	p.began()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.at.IsZero() {
+		close(p.started)
+	}
+	p.at = at
+}
+
 // EndBy records that the server stops at a moment: from now on it refuses each request that it has not sent anywhere yet and
 // that would probably not have ended by then.
-func (s *Server) EndBy(at time.Time) { s.stopAt.Store(&at) }
+func (s *Server) EndBy(at time.Time) { s.stop.begin(at) }
 
 // endsTooLate returns an error if the server stops before a request that has been sent nowhere can be expected to have ended.
 func (s *Server) endsTooLate(now time.Time, r *Request) *code.Error {
-	at := s.stopAt.Load()
-	if at == nil {
+	at, ok := s.stop.end()
+	if !ok {
 		return nil
 	}
 	need := s.timeNeeded(now, r)
@@ -43,3 +80,12 @@
 	}
 	return r.Server.endsTooLate(now, r.req)
 }
+
+// nextCheck returns after what time a waiting request may have become one that cannot be served in time.
+func (r *run) nextCheck(now time.Time) time.Duration {
+	next := r.req.Deadline.Sub(now) - r.ticket.Expect
+	if at, ok := r.stop.end(); ok {
+		next = min(next, max(at.Sub(now)-r.timeNeeded(now, r.req), routeRetryInterval))
+	}
+	return max(next, clock.LeastTimer)
+}
--- a/request/stop_test.go
+++ b/request/stop_test.go
@@ -139,6 +139,36 @@
 	}
 }
 
+// A request that waited in the queue while its daemon began to stop was refused only once its turn came.
+func TestAQueuedRequestThatCannotEndIsRefusedAsItsServerStops(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newRelayWorld(t, request.Defaults(), serveEvents)
+		w.server.Works.Get(&w.service).Queue.Limit.Fix(1)
+		ctx, kill := context.WithCancel(t.Context())
+		defer kill()
+		var wg sync.WaitGroup
+		var refused []time.Time
+		var mu sync.Mutex
+		for i := range 8 {
+			wg.Go(func() {
+				if _, err := w.stream(ctx, streamAsk{id: fmt.Sprint("id-", i), events: 76, tokens: 380}); err != nil && err.Code == code.Draining {
+					mu.Lock()
+					defer mu.Unlock()
+					refused = append(refused, time.Now())
+				}
+			})
+		}
+		time.Sleep(2 * time.Second)
+		began := time.Now()
+		w.server.EndBy(began.Add(7600 * time.Millisecond))
+		time.Sleep(50 * time.Millisecond)
+		mu.Lock()
+		assert.Len(t, refused, 7)
+		mu.Unlock()
+		wg.Wait()
+	})
+}
+
 // Streams that had become slower were taken by their time from before, and cut at the end of a planned stop.
 func TestAStoppingServerSeesThatEndpointsHaveSlowed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
