request: a stopping daemon repeats no attempt that cannot end

What callers saw: an attempt that failed after the SIGTERM was repeated whatever the time left, and the second one cut at the daemon's end, up to 7.6 s later.

Cause: the check of a planned stop passed each request that an endpoint may have begun.

Why it works: an error at once leaves the caller the time to ask another daemon. What has been passed on of a stream counts for it. Where no second attempt would be made, a silent endpoint is not given up either: its answer may still come.

--- a/request/attempt.go
+++ b/request/attempt.go
@@ -207,6 +207,9 @@
 	r.life.apply(eventSend)
 	r.started, r.expected, r.first, r.events, r.signedFailure, r.survived = r.Now(), c.First, 0, 0, false, false
 	r.progress.begin(r.started)
+	if r.firstSent.IsZero() {
+		r.firstSent = r.started
+	}
 	r.expectedWait = c.First - c.Own - c.Start
 	var ending Ending
 	var err error
--- a/request/relay.go
+++ b/request/relay.go
@@ -234,7 +234,8 @@
 		if w.stopped.Load() || w.paused.Load() {
 			return
 		}
-		if r.work.Budget.TakeSpare(r.Now()) {
+		// Once a stopping server would not repeat the request, a slow answer is better than none.
+		if r.Server.EndsTooLate(r.Now(), r.req) == nil && r.work.Budget.TakeSpare(r.Now()) {
 			r.retryCharged.Store(true)
 			cancel(errSilent)
 			return
--- a/request/server.go
+++ b/request/server.go
@@ -175,8 +175,9 @@
 	claim           Claim
 	claimed         bool
 	ticket          Ticket
-	probe           bool // only its expected time would have refused it
-	continues       bool // its caller takes up a stream, of which only the rest is answered
+	probe           bool      // only its expected time would have refused it
+	continues       bool      // its caller takes up a stream, of which only the rest is answered
+	firstSent       time.Time // when the first attempt was sent
 	progress        progress
 	started         time.Time     // when the last attempt was sent
 	expected        time.Duration // time to its first event, as predicted; 0 if not known
--- a/request/stop.go
+++ b/request/stop.go
@@ -46,16 +46,19 @@
 }
 
 // EndBy records that the server stops at a moment: from now on it refuses each request that it has not sent anywhere yet and
-// that would probably not have ended by then.
+// that would probably not have ended by then, and repeats no attempt that would not.
 func (s *Server) EndBy(at time.Time) { s.stop.begin(at) }
 
-// endsTooLate returns an error if the server stops before a request that has been sent nowhere can be expected to have ended.
-func (s *Server) endsTooLate(now time.Time, r *Request) *code.Error {
+// EndsTooLate returns an error if the server stops before a request that has been sent nowhere can be expected to have ended.
+func (s *Server) EndsTooLate(now time.Time, r *Request) *code.Error { return s.endsTooLate(now, r, 0) }
+
+// endsTooLate is EndsTooLate for a request whose answer has been passed on for some time.
+func (s *Server) endsTooLate(now time.Time, r *Request, done time.Duration) *code.Error {
 	at, ok := s.stop.end()
 	if !ok {
 		return nil
 	}
-	need := s.timeNeeded(now, r)
+	need := s.timeNeeded(now, r) - done
 	if left := at.Sub(now); need > left {
 		return code.New(code.Draining, "the daemon stops in %s, and the request may take %s", max(left, 0).Round(time.Millisecond), need.Round(time.Millisecond))
 	}
@@ -75,10 +78,11 @@
 
 // endsTooLate returns an error if the server stops before the request can be expected to have ended.
 func (r *run) endsTooLate(now time.Time) *code.Error {
-	if r.life.MayHaveRun {
-		return nil
+	var done time.Duration
+	if x := r.req.Relay; x != nil && x.Started() {
+		done = now.Sub(r.firstSent)
 	}
-	return r.Server.endsTooLate(now, r.req)
+	return r.Server.endsTooLate(now, r.req, done)
 }
 
 // nextCheck returns after what time a waiting request may have become one that cannot be served in time.
--- a/request/stop_test.go
+++ b/request/stop_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -169,6 +170,41 @@
 	})
 }
 
+// A second attempt that a stopping daemon could not end was cut, where an error at once lets the caller ask another daemon.
+func TestAStoppingServerRepeatsNoAttemptThatCannotEnd(t *testing.T) {
+	for _, events := range []int{5, 76} {
+		synctest.Test(t, func(t *testing.T) {
+			const known = 60
+			var arrived atomic.Int64
+			w := newRelayWorld(t, request.Defaults(), func(out http.ResponseWriter, r *http.Request) {
+				if arrived.Add(1) == known+1 {
+					time.Sleep(400 * time.Millisecond)
+					panic(http.ErrAbortHandler)
+				}
+				serveEvents(out, r)
+			})
+			ask := func(id string, events int) *code.Error {
+				_, err := w.stream(t.Context(), streamAsk{id: id, events: events, tokens: events * eventTokenCount, repeated: true})
+				return err
+			}
+			for i := range known {
+				assert.Nil(t, ask(fmt.Sprint("before-", i), []int{5, 76}[i%2]))
+			}
+			began := time.Now()
+			time.AfterFunc(200*time.Millisecond, func() { w.server.EndBy(began.Add(4 * time.Second)) })
+			err := ask("a", events)
+			if events == 5 {
+				assert.Nil(t, err)
+				return
+			}
+			assert.NotNil(t, err)
+			assert.Less(t, time.Since(began), time.Second)
+			assert.EqualValues(t, known+1, arrived.Load())
+			time.Sleep(time.Second) // the endpoint notices that its caller has left
+		})
+	}
+}
+
 // Streams that had become slower were taken by their time from before, and cut at the end of a planned stop.
 func TestAStoppingServerSeesThatEndpointsHaveSlowed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
