entry: a daemon that stops refuses a request before it has read its body

What callers saw: a request whose header told that it could not end before the daemon was refused only after its whole body, on a slow uplink 4.8 s later.

Cause: requests were compared with the end of the daemon after their body.

Why it works: the request is compared before its body and before each read of it. net/http answers then without reading the rest first, and closes the connection once the caller has sent it, so that the answer is not lost in a reset.

--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -150,12 +151,15 @@
 	if o.call.ID == "" {
 		return code.New(code.BadHeader, "the request has no id")
 	}
-	body, err := s.body(w, r, c, o.held)
+	o.req = s.request(now, r, c, o)
+	o.req.Relay.Out = w
+	body, err := s.body(w, r, c, o)
 	if err != nil {
 		return err
 	}
-	o.req = s.request(now, r, c, o, body)
-	o.req.Relay.Out = w
+	o.req.Body = body
+	stall := stallBound(o.req.Deadline.Sub(now))
+	conn.LimitWrites(r.Context(), stall, time.Now().Add(o.req.Deadline.Sub(clock.Now())+stall))
 	if o.resumable() {
 		if err := s.d.streams.begin(r.Context(), o); err != nil {
 			return err
@@ -179,9 +183,13 @@
 	return nil
 }
 
-// body reads the whole body.
-func (s *ingress) body(w http.ResponseWriter, r *http.Request, c *version.Catalog, held *request.Held) ([]byte, *code.Error) {
-	if !held.Grow(request.BaseBytes) {
+// body reads the whole body, unless the daemon stops before the request could end.
+func (s *ingress) body(w http.ResponseWriter, r *http.Request, c *version.Catalog, o *inboundRequest) ([]byte, *code.Error) {
+	if err := s.d.Server.EndsTooLate(clock.Now(), o.req); err != nil {
+		answerUnread(w)
+		return nil, err
+	}
+	if !o.held.Grow(request.BaseBytes) {
 		return nil, errNoMemory()
 	}
 	if r.Body == nil || r.ContentLength == 0 {
@@ -197,10 +205,19 @@
 	}
 	rc := http.NewResponseController(w)
 	rc.SetReadDeadline(time.Now().Add(bodyTimeout)) // always supported by net/http's server
-	b, whole, err := held.Body(http.MaxBytesReader(w, r.Body, most), int(limit)+1)
+	b, whole, err := o.held.Body(checkedReader{http.MaxBytesReader(w, r.Body, most), func() error {
+		if err := s.d.Server.EndsTooLate(clock.Now(), o.req); err != nil {
+			return err
+		}
+		return nil
+	}}, int(limit)+1)
 	rc.SetReadDeadline(time.Time{})
 	var large *http.MaxBytesError
+	var refused *code.Error
 	switch {
+	case errors.As(err, &refused):
+		answerUnread(w)
+		return nil, refused
 	case errors.As(err, &large):
 		return nil, code.New(code.BodyTooLarge, "the body exceeds %d bytes", large.Limit)
 	case err != nil:
@@ -211,6 +228,26 @@
 	return b, nil
 }
 
+// answerUnread makes net/http send the answer before it has read the rest of the body, and close the connection after that.
+func answerUnread(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	http.NewResponseController(w).EnableFullDuplex() // always supported by HTTP/1
+}
+
+// checkedReader calls check before each read, and fails with its error.
+type checkedReader struct {
+	io.Reader
+	check func() error
+}
+
+// Read implements io.Reader.
+func (c checkedReader) Read(b []byte) (int, error) {
+	if err := c.check(); err != nil {
+		return 0, err
+	}
+	return c.Reader.Read(b)
+}
+
 // limit charges a request to its team's limit.
 func (s *ingress) limit(ctx context.Context, o *inboundRequest) *code.Error {
 	t := o.tenant
@@ -236,8 +273,8 @@
 	return code.New(code.TeamShare, "team %s has not enough of its limit left for %.0f units; a repeat before Retry-After finds too few", t.Name, o.units).After(o.decision.Wait)
 }
 
-// request returns the request in the form that request.Server takes.
-func (s *ingress) request(now time.Time, r *http.Request, c *version.Catalog, o *inboundRequest, body []byte) *request.Request {
+// request returns the request, without its body, in the form that request.Server takes.
+func (s *ingress) request(now time.Time, r *http.Request, c *version.Catalog, o *inboundRequest) *request.Request {
 	wait := o.route.Timeout
 	if wait <= 0 {
 		wait = defaultTimeout
@@ -263,12 +300,11 @@
 	if !backend.Engine {
 		urgency = -1
 	}
-	conn.LimitWrites(r.Context(), stallBound(wait), time.Now().Add(wait-clock.Since(now)+stallBound(wait)))
 	req := &request.Request{
 		Held: o.held,
 		ID:   o.call.ID, Team: team, Weight: 1, Service: backend.Service(), Route: o.route.Route(),
 		Unrepeatable: o.route.Repeat == version.RepeatNever, Arrived: now, Deadline: now.Add(wait),
-		Path: target(r), Method: r.Method, Header: r.Header, Body: body,
+		Path: target(r), Method: r.Method, Header: r.Header,
 	}
 	req.Relay = &request.Relay{
 		Codec: &codec{in: platform.Forwarded(r.Header), team: team, urgency: urgency, unknown: &s.d.unknown},
