estimate, request: slow calls among quick ones of their route eject no endpoint

What callers saw: on a route with 50 calls a second of 10 ms and 5 of 400 ms, 30 of 750 quick and 3 of 75 slow calls were served; the rest got 503 (1103, no endpoint accepts requests).

Cause: an endpoint is slow if the mean of four answers is above four times its route's mean time. One slow call among quick ones is 40 times that.

Why it works: the average takes as many more answers as the times of the route spread (the square of their standard deviation by their mean), and one answer counts for eight times the usual at most, so that the first slow call, of which the spread knows nothing yet, is not enough. Where the spread is below the mean, four answers suffice as before.

--- a/estimate/times.go
+++ b/estimate/times.go
@@ -45,6 +45,7 @@
 	samples   int
 	mean      float64
 	deviation float64
+	square    float64 // mean of the squares
 }
 
 func (a *average) add(x, weight float64) {
@@ -54,6 +55,15 @@
 		a.deviation += weight * (math.Abs(x-a.mean) - a.deviation)
 	}
 	a.mean += weight * (x - a.mean)
+	a.square += weight * (x*x - a.square)
+}
+
+// spread returns the standard deviation as a share of the mean.
+func (a *average) spread() float64 {
+	if a.mean <= 0 {
+		return 0
+	}
+	return math.Sqrt(math.Max(a.square-a.mean*a.mean, 0)) / a.mean
 }
 
 func (a *average) time() time.Duration { return duration(a.mean) }
@@ -123,6 +133,13 @@
 	return 0
 }
 
+// Spread returns the standard deviation of the times of a route's requests as a share of their mean.
+func (t *Times) Spread(route string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.route(route).spread()
+}
+
 // Bound returns a time within which nearly all requests of a route and size end; ok is false if it is not known.
 func (t *Times) Bound(now time.Time, route string, size int) (bound time.Duration, ok bool) {
 	t.mu.Lock()
--- a/request/relay_test.go
+++ b/request/relay_test.go
@@ -3,6 +3,7 @@
 package request_test
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"net/http"
@@ -70,11 +71,12 @@
 	return w
 }
 
-// relayAsk is a caller's request; its path is also its route.
+// relayAsk is a caller's request; its path is also its route unless that is given.
 type relayAsk struct {
 	id, path     string
 	wait         time.Duration
 	unrepeatable bool
+	route        string
 }
 
 // ask relays a request and returns the status of its answer, 0 if it was refused.
@@ -82,7 +84,7 @@
 	out := httptest.NewRecorder()
 	now := time.Now()
 	err := w.server.Relay(t.Context(), &request.Request{
-		ID: a.id, Service: w.service, Route: version.Route{Name: a.path}, Unrepeatable: a.unrepeatable, Arrived: now, Deadline: now.Add(a.wait),
+		ID: a.id, Service: w.service, Route: version.Route{Name: cmp.Or(a.route, a.path)}, Unrepeatable: a.unrepeatable, Arrived: now, Deadline: now.Add(a.wait),
 		Path: a.path, Method: http.MethodPost, Header: http.Header{}, Body: []byte("body"),
 		Relay: &request.Relay{Codec: relayCodec{a.id}, Out: out, Host: "some.example", Attempts: 2},
 	})
@@ -122,7 +124,7 @@
 				}
 			})
 			for _, id := range []string{"a", "b", "c"} {
-				assert.Equal(t, http.StatusOK, w.ask(t, relayAsk{id, "/x", 5 * time.Second, unrepeatable}), "request %s is sent again", id)
+				assert.Equal(t, http.StatusOK, w.ask(t, relayAsk{id: id, path: "/x", wait: 5 * time.Second, unrepeatable: unrepeatable}), "request %s is sent again", id)
 			}
 			assert.Zero(t, late)
 		})
@@ -206,11 +208,13 @@
 			}
 		})
 		for i := range 20 {
-			w.ask(t, relayAsk{fmt.Sprint("long-", i), "/long", 5 * time.Second, true})
-			w.ask(t, relayAsk{fmt.Sprint("short-", i), "/short", 5 * time.Second, true})
+			w.ask(t, relayAsk{id: fmt.Sprint("long-", i), path: "/long", wait: 5 * time.Second, unrepeatable: true})
+			w.ask(t, relayAsk{id: fmt.Sprint("short-", i), path: "/short", wait: 5 * time.Second, unrepeatable: true})
 		}
 		before := make(chan int, 1)
-		go func() { before <- w.ask(t, relayAsk{"before", "/long", 5 * time.Second, true}) }()
+		go func() {
+			before <- w.ask(t, relayAsk{id: "before", path: "/long", wait: 5 * time.Second, unrepeatable: true})
+		}()
 		synctest.Wait()
 		w.server.EndBy(time.Now().Add(time.Second))
 		began := time.Now()
@@ -219,7 +223,7 @@
 			wait   time.Duration
 			status int
 		}{{"/long", 5 * time.Second, 0}, {"/short", 5 * time.Second, http.StatusOK}, {"/new", 5 * time.Second, 0}, {"/new", 500 * time.Millisecond, http.StatusOK}} {
-			assert.Equal(t, c.status, w.ask(t, relayAsk{c.path + c.wait.String(), c.path, c.wait, true}), "%s within %s", c.path, c.wait)
+			assert.Equal(t, c.status, w.ask(t, relayAsk{id: c.path + c.wait.String(), path: c.path, wait: c.wait, unrepeatable: true}), "%s within %s", c.path, c.wait)
 		}
 		assert.Less(t, time.Since(began), 50*time.Millisecond)
 		assert.Equal(t, http.StatusOK, <-before)
--- a/request/settle.go
+++ b/request/settle.go
@@ -121,7 +121,7 @@
 		if r.succeeded && !r.req.IsModel() && (r.req.Relay == nil || !r.req.Relay.Streaming) {
 			t.RecordCall(now, now.Sub(r.started), r.work.Times.Usual(r.req.Route.Name))
 		}
-		if pace, ok := r.pace(now); ok && r.opts.Without.On(mechanism.SlowEjection) && t.RecordPace(now, pace, r.usualPace()) {
+		if pace, ok := r.pace(now); ok && r.opts.Without.On(mechanism.SlowEjection) && t.RecordPace(now, pace, r.usualPace(), r.paceSpread()) {
 			r.logEject(t, fmt.Sprintf("slow: pace %s, usual pace %s", pace, r.usualPace()), nil)
 		}
 	case EndedUnsent, EndedBroken:
@@ -164,6 +164,14 @@
 	return r.work.Times.Steady(r.req.Route.Name)
 }
 
+// paceSpread returns how much the durations of plain calls of the request's route differ, as a share of the usual one.
+func (r *run) paceSpread() float64 {
+	if r.req.IsModel() {
+		return 0
+	}
+	return r.work.Times.Spread(r.req.Route.Name)
+}
+
 // prepareRetry prepares the next attempt: it charges the retry budget and waits for the backoff.
 func (r *run) prepareRetry(ctx context.Context, e Ending, v Verdict, t *Target) {
 	switch e {
--- a/request/target.go
+++ b/request/target.go
@@ -321,22 +321,27 @@
 func (t *Target) Answered() bool { return t.hasCompleted.Load() }
 
 // An endpoint is slow if the average over at least slowMinAnswers answers exceeds slowFactor times the usual time per
-// token, or that of the calls' routes. A full batch is about twice as slow as an empty one.
+// token, or that of the calls' routes. A full batch is about twice as slow as an empty one. Where the usual times spread, the
+// average takes more answers: a few slow calls in a row do not make the endpoint of a route with slow and quick ones slow.
 const (
 	slowMinAnswers = 4
 	slowFactor     = 4
+	maxPaceRatio   = 2 * slowFactor // bounds the effect of a single answer
 )
 
 // RecordPace records the time per token (or per plain call) of a complete answer, and reports whether the
-// endpoint is ejected as slow compared with the usual value; 0 if that is not known.
-func (t *Target) RecordPace(now time.Time, pace, usual time.Duration) bool {
+// endpoint is ejected as slow compared with the usual value, 0 if that is not known, whose standard deviation is spread
+// times as large.
+func (t *Target) RecordPace(now time.Time, pace, usual time.Duration, spread float64) bool {
 	if usual <= 0 {
 		return false
 	}
 	t.mu.Lock()
 	t.paceSamples++
-	t.meanPace += (pace.Seconds()/usual.Seconds() - t.meanPace) / float64(min(t.paceSamples, slowMinAnswers))
-	slow := t.paceSamples >= slowMinAnswers && t.meanPace > slowFactor
+	need := int(math.Ceil(slowMinAnswers * math.Max(1, spread*spread)))
+	ratio := math.Min(pace.Seconds()/usual.Seconds(), maxPaceRatio)
+	t.meanPace += (ratio - t.meanPace) / float64(min(t.paceSamples, need))
+	slow := t.paceSamples >= need && t.meanPace > slowFactor
 	if slow {
 		t.meanPace, t.paceSamples = 0, 0
 	}
