estimate, request: only what surely cannot end in time is refused for its own time

What callers saw: on a route with calls of 400 ms and calls of 10 ms, the quick ones, whose callers wait 150 ms, got 503 (1102) with most slots free: 15 of 90 were served beside 50 slow calls a second at a daemon.

Cause: the mean time of a route was taken for what each of its requests needs.

Evidence: 1102 comes with 2 of 24 slots taken, so no queue ahead explains it; TestQuickCallsAreServedBesideSlowOnesOfTheirRoute failed with the figure above. The same cause elsewhere: a model whose engines had been slow served 10 of 100 short callers (TestAModelWhoseEnginesWereSlowServesShortCallersAgain), and calls of which none ended in time were all sent, for ever (TestCallsOfWhichNoneEndsInTimeAreRefusedAtOnce).

Why it works: only the fastest of the recent requests of a route and size says what one surely takes, and where none has ended, the longest of twenty that missed their deadline. The mean stays the estimate of the work that waits in a queue. Probes are the last resort.

TestEnterRefusesImmediately and the queue's state machine now set what a ticket surely takes beside its expected time, as the check of the deadline goes by that.

--- a/estimate/sizes.go
+++ b/estimate/sizes.go
@@ -12,8 +12,15 @@
 	// maxClasses is the number of size classes. Each holds sizes up to twice as large as the one before; the first holds
 	// requests of unknown size.
 	maxClasses = 24
+	// leastSpan is the span of time whose requests say what a request takes surely.
+	leastSpan = 10 * time.Second
 	// peakSpan is the span of time in which the longest request counts for a bound.
 	peakSpan = time.Minute
+	// exceededSamples is how many requests have to have missed their deadline, and none ended, before that says what a
+	// request takes surely.
+	exceededSamples = 20
+	// exceededFactor is the factor by which a request takes longer, at least, than those that had not ended at their deadline.
+	exceededFactor = 1.05
 )
 
 // sizeClass returns the class of a size in tokens, 0 if it is not known.
@@ -25,6 +32,25 @@
 	size   float64 // mean size of the samples
 	events float64 // mean number of events
 	peak   recent[float64]
+	least  recent[outcomes]
+}
+
+// outcomes sums up how requests ended.
+type outcomes struct {
+	ended    int
+	fastest  float64 // of those that ended
+	exceeded int     // requests that had not ended at their deadline
+	longest  float64 // time that one of those had
+}
+
+func (o outcomes) add(p outcomes) outcomes {
+	if o.ended == 0 || p.ended > 0 && p.fastest < o.fastest {
+		o.fastest = p.fastest
+	}
+	o.ended += p.ended
+	o.exceeded += p.exceeded
+	o.longest = math.Max(o.longest, p.longest)
+	return o
 }
 
 func (s *sizeTimes) record(now time.Time, x Sample, weight float64) {
@@ -34,6 +60,24 @@
 	s.events += (float64(x.Events) - s.events) / float64(s.samples)
 	s.peak.advance(now, peakSpan)
 	s.peak.current = math.Max(s.peak.current, took)
+	s.recordOutcome(now, outcomes{ended: 1, fastest: took})
+}
+
+func (s *sizeTimes) recordOutcome(now time.Time, o outcomes) {
+	s.least.advance(now, leastSpan)
+	s.least.current = s.least.current.add(o)
+}
+
+// surely returns what a request takes at least, 0 if it is not known.
+func (s *sizeTimes) surely(now time.Time) float64 {
+	s.least.advance(now, leastSpan)
+	switch o := s.least.current.add(s.least.previous); {
+	case o.ended > 0:
+		return o.fastest
+	case o.exceeded >= exceededSamples:
+		return exceededFactor * o.longest
+	}
+	return 0
 }
 
 // bound returns what nearly all requests of the class take at most. With few samples it is further from their mean.
--- a/estimate/times.go
+++ b/estimate/times.go
@@ -106,6 +106,13 @@
 	t.all.add(s.Took.Seconds(), weight)
 }
 
+// RecordExceeded records that a request had not ended at its deadline, for which it had waited since it arrived.
+func (t *Times) RecordExceeded(now time.Time, route string, size int, waited time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.route(route).ofSize(size).recordOutcome(now, outcomes{exceeded: 1, longest: waited.Seconds()})
+}
+
 // Expect returns the mean time of a route's requests, 0 if it is not known.
 func (t *Times) Expect(route string) time.Duration {
 	t.mu.Lock()
@@ -140,6 +147,13 @@
 	return t.route(route).spread()
 }
 
+// Least returns the time that a request of a size surely takes, 0 if it is not known.
+func (t *Times) Least(now time.Time, route string, size int) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return duration(t.route(route).ofSize(size).surely(now))
+}
+
 // Bound returns a time within which nearly all requests of a route and size end; ok is false if it is not known.
 func (t *Times) Bound(now time.Time, route string, size int) (bound time.Duration, ok bool) {
 	t.mu.Lock()
--- a/estimate/times_test.go
+++ b/estimate/times_test.go
@@ -18,7 +18,7 @@
 func callers(times *estimate.Times, began time.Time, route string, perSecond int, takes, timeout, span time.Duration) (sent, served int) {
 	for now := began; now.Before(began.Add(span)); now = now.Add(time.Second / time.Duration(perSecond)) {
 		sent++
-		refused := times.Expect(route) > timeout
+		refused := times.Least(now, route, 0) > timeout
 		if refused && !times.Probe(now, route) {
 			continue
 		}
--- a/request/attempt.go
+++ b/request/attempt.go
@@ -120,7 +120,7 @@
 				return Choice{}, err
 			}
 		}
-		late := !now.Add(r.ticket.Expect).Before(r.req.Deadline) && r.attempts == 0
+		late := !now.Add(r.ticket.Least).Before(r.req.Deadline) && r.attempts == 0
 		waited := r.opts.RouteWait > 0 && !now.Before(until)
 		if late || waited || !now.Before(r.giveUpAt()) {
 			return Choice{}, r.noEndpoint(listed)
--- a/request/deadline_test.go
+++ b/request/deadline_test.go
@@ -7,12 +7,14 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
+	"streambend.example/internal/standin"
 	"streambend.example/request"
 )
 
@@ -58,6 +60,55 @@
 	return sent, served
 }
 
+// Quick calls of a route were refused by its mean time, which slow calls of the route had raised.
+func TestQuickCallsAreServedBesideSlowOnesOfTheirRoute(t *testing.T) {
+	for _, perSecond := range []int{1, 6, 50} {
+		for _, slowPerSecond := range []int{6, 50} {
+			synctest.Test(t, func(t *testing.T) {
+				sent, served := playCalls(t, 15*time.Second,
+					callMix{"slow", 400 * time.Millisecond, 1500 * time.Millisecond, time.Second / time.Duration(slowPerSecond)},
+					callMix{"quick", 10 * time.Millisecond, 150 * time.Millisecond, time.Second / time.Duration(perSecond)})
+				t.Logf("%v sent, %v served", sent, served)
+				assert.GreaterOrEqual(t, float64(served["quick"]), 0.95*float64(sent["quick"]))
+				assert.Equal(t, sent["slow"], served["slow"])
+			})
+		}
+	}
+}
+
+// Calls that took longer than their callers wait were sent on for ever, as none of them ended and was recorded.
+func TestCallsOfWhichNoneEndsInTimeAreRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var arrived atomic.Int64
+		var takes atomic.Int64
+		takes.Store(int64(400 * time.Millisecond))
+		w := newRelayWorld(t, request.Defaults(), func(out http.ResponseWriter, r *http.Request) {
+			io.Copy(io.Discard, r.Body)
+			arrived.Add(1)
+			time.Sleep(time.Duration(takes.Load()))
+		})
+		ask := func(n int) (served int, waited time.Duration) {
+			for i := range n {
+				began := time.Now()
+				if w.ask(t, relayAsk{id: fmt.Sprint(i), path: "/x", wait: 200 * time.Millisecond, unrepeatable: true}) == http.StatusOK {
+					served++
+				}
+				waited += time.Since(began)
+				time.Sleep(100 * time.Millisecond)
+			}
+			return served, waited
+		}
+		ask(30)
+		before := arrived.Load()
+		_, waited := ask(100)
+		assert.Less(t, arrived.Load()-before, int64(25), "one a second, as a probe")
+		assert.Less(t, waited, 5*time.Second)
+		takes.Store(int64(10 * time.Millisecond))
+		served, _ := ask(100)
+		assert.GreaterOrEqual(t, served, 85)
+	})
+}
+
 // Slow calls of a route made endpoints look slow beside its quick ones, and they were ejected.
 func TestSlowCallsAmongQuickOnesOfTheirRouteEjectNoEndpoint(t *testing.T) {
 	for _, perSecond := range []int{5, 50, 500} {
@@ -69,3 +120,27 @@
 		})
 	}
 }
+
+// A model whose engines had been slow refused short callers for a minute, by the mean time of its answers.
+func TestAModelWhoseEnginesWereSlowServesShortCallersAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newTestCluster([]standin.EngineFault{{SlowTimes: 100}})
+		defer o.close()
+		s := o.start("a")
+		for i := range 40 {
+			_, err := answer(s, newRequest("digest", fmt.Sprint("slow-", i), ""))
+			assert.NoError(t, err)
+		}
+		o.engines[0].SetFault(standin.EngineFault{})
+		served := 0
+		for i := range 100 {
+			r := newRequest("digest", fmt.Sprint("quick-", i), "")
+			r.Deadline = r.Arrived.Add(300 * time.Millisecond)
+			if _, err := answer(s, r); err == nil {
+				served++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.GreaterOrEqual(t, served, 95)
+	})
+}
--- a/request/queue.go
+++ b/request/queue.go
@@ -18,6 +18,7 @@
 	Interactive bool
 	Priority    int           // within the team; lower values go first
 	Expect      time.Duration // expected service time
+	Least       time.Duration // service time that it surely takes; 0 if it is not known
 	Target      time.Time     // when the answer is wanted; zero for no target before the deadline
 	Deadline    time.Time     // after which the answer is useless
 
@@ -40,9 +41,9 @@
 	return t.Target.IsZero() || !now.Add(wait+need).After(t.Target)
 }
 
-// missesDeadline reports whether the ticket, granted after wait, completes only after its deadline.
+// missesDeadline reports whether the ticket, granted after wait, surely completes only after its deadline.
 func (t *Ticket) missesDeadline(now time.Time, wait time.Duration) bool {
-	return now.Add(wait + t.Expect).After(t.Deadline)
+	return now.Add(wait + t.Least).After(t.Deadline)
 }
 
 const (
@@ -124,7 +125,7 @@
 	f := q.flow(t)
 	q.grantQueued(now) // what may run also changes with time alone
 	if t.missesDeadline(now, 0) {
-		return code.New(code.DeadlineTooNear, "%s left, about %s required", t.Deadline.Sub(now).Round(time.Millisecond), t.Expect.Round(time.Millisecond))
+		return code.New(code.DeadlineTooNear, "%s left, at least %s required", t.Deadline.Sub(now).Round(time.Millisecond), t.Least.Round(time.Millisecond))
 	}
 	if q.mayRun(f) && q.earliest() == nil {
 		q.grant(f, t)
@@ -322,7 +323,7 @@
 		for _, line := range []*[]*Ticket{&f.tickets, &f.late} {
 			for i := len(*line) - 1; i >= 0; i-- {
 				if t := (*line)[i]; t.missesDeadline(now, 0) {
-					q.refuse(line, i, code.New(code.DeadlineTooNear, "deadline can no longer be met").After(t.Expect))
+					q.refuse(line, i, code.New(code.DeadlineTooNear, "deadline can no longer be met").After(t.Least))
 				}
 			}
 		}
--- a/request/queue_test.go
+++ b/request/queue_test.go
@@ -37,6 +37,7 @@
 		Team: rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "team"), Weight: 1,
 		Interactive: rapid.Bool().Draw(t, "interactive"), Priority: rapid.IntRange(0, 2).Draw(t, "priority"),
 		Expect:   time.Duration(rapid.IntRange(1, 3000).Draw(t, "expect")) * time.Millisecond,
+		Least:    time.Duration(rapid.IntRange(0, 3000).Draw(t, "least")) * time.Millisecond,
 		Target:   m.now.Add(time.Duration(rapid.IntRange(1, 6).Draw(t, "target")) * time.Second),
 		Deadline: m.now.Add(time.Duration(rapid.IntRange(1, 20).Draw(t, "deadline")) * time.Second),
 	}
@@ -143,7 +144,7 @@
 func TestEnterRefusesImmediately(t *testing.T) {
 	q := request.NewQueue(request.NewLimiter(2, 0), 2)
 	enter := func(team string, expect, deadline time.Duration) error {
-		if err := q.Enter(start, &request.Ticket{Team: team, Weight: 1, Expect: expect, Deadline: start.Add(deadline)}); err != nil {
+		if err := q.Enter(start, &request.Ticket{Team: team, Weight: 1, Expect: expect, Least: expect, Deadline: start.Add(deadline)}); err != nil {
 			return err
 		}
 		return nil
--- a/request/server.go
+++ b/request/server.go
@@ -268,12 +268,13 @@
 	r.ticket = Ticket{
 		Team: r.req.Partner + "/" + r.req.Team, Weight: r.req.Weight, Interactive: r.req.Route.Interactive,
 		Priority: r.req.Route.Priority, Target: r.req.target(), Deadline: r.req.Deadline, Expect: r.expect(),
+		Least: r.least(now),
 	}
 	if r.opts.NoFairQueue {
 		r.ticket.Team, r.ticket.Interactive, r.ticket.Priority = "", false, 0
 	}
 	if r.ticket.missesDeadline(now, 0) && now.Before(r.req.Deadline) && r.work.Times.Probe(now, r.req.Route.Name) {
-		r.probe, r.ticket.Expect = true, 0
+		r.probe, r.ticket.Least = true, 0
 	}
 	if err := r.work.Queue.Enter(now, &r.ticket); err != nil {
 		return err
@@ -288,7 +289,7 @@
 	if err := r.endsTooLate(r.Now()); err != nil {
 		return err
 	}
-	return code.New(code.DeadlineTooNear, "queued until the deadline was too near").After(r.ticket.Expect)
+	return code.New(code.DeadlineTooNear, "queued until the deadline was too near").After(r.ticket.Least)
 }
 
 // awaitGrant waits until the ticket is granted or refused, or reports false once the request cannot be served in time.
@@ -307,7 +308,7 @@
 		case <-timer.C:
 		}
 		now = r.Now()
-		if !now.Add(r.ticket.Expect).Before(r.req.Deadline) || r.endsTooLate(now) != nil {
+		if !now.Add(r.ticket.Least).Before(r.req.Deadline) || r.endsTooLate(now) != nil {
 			return false
 		}
 		timer.Reset(r.nextCheck(now))
@@ -322,6 +323,15 @@
 	return r.work.Times.Expect(r.req.Route.Name)
 }
 
+// least returns the service time that the request surely takes, 0 if it is not known. A stream is not refused for it: that
+// its engines are fast again would show only at the end of one that is let through.
+func (r *run) least(now time.Time) time.Duration {
+	if x := r.req.Relay; x != nil && x.Streaming {
+		return 0
+	}
+	return r.work.Times.Least(now, r.req.Route.Name, r.req.size())
+}
+
 // takeClaim claims an unrepeatable request that has a key, and reports whether
 // the request has ended with that.
 func (r *run) takeClaim(ctx context.Context) bool {
--- a/request/settle.go
+++ b/request/settle.go
@@ -41,6 +41,9 @@
 	if !errors.Is(failure, errStaleList) && !errors.Is(failure, errBarred) {
 		r.recordOutcome(now, t, e, failure)
 	}
+	if errors.Is(failure, errDeadline) && e == EndedBroken && r.attempts == 1 && r.endpointTime(now) > r.callerTime {
+		r.work.Times.RecordExceeded(now, r.req.Route.Name, r.req.size(), r.req.Deadline.Sub(r.started))
+	}
 	r.noteTrial(now, t, e, failure)
 	a := AttemptOutcome{
 		Ending: e, Unrepeatable: r.req.Unrepeatable, MayHaveRun: r.life.MayHaveRun,
--- a/request/stop.go
+++ b/request/stop.go
@@ -87,7 +87,7 @@
 
 // nextCheck returns after what time a waiting request may have become one that cannot be served in time.
 func (r *run) nextCheck(now time.Time) time.Duration {
-	next := r.req.Deadline.Sub(now) - r.ticket.Expect
+	next := r.req.Deadline.Sub(now) - r.ticket.Least
 	if at, ok := r.stop.end(); ok {
 		next = min(next, max(at.Sub(now)-r.timeNeeded(now, r.req), routeRetryInterval))
 	}
