conn, request: the head of an answer is bounded, and who sends more is ejected at once

What callers saw: with four endpoints of eight whose head has no end and 60 calls at once, one daemon held hundreds of megabytes, and callers got 502 though four sound endpoints were nearly idle.

Cause: net/http reads up to 10 MB of a head and holds nearly twice as much for it; interim answers count the same. An endpoint that does it was asked again until it had failed three times in a row.

Why it works: 64 KB is far above what a head has, also through another daemon, and holds for the store, the cloud and the links too. An endpoint that sends more than an answer can have is ejected at its first such answer, for a second and then for twice as long each time, and is still used where no other is left.

--- a/conn/endpoint.go
+++ b/conn/endpoint.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -115,11 +116,14 @@
 	c.dial = c.Dials.dial(n.Dial)
 	pooled := &http.Transport{
 		DialContext: gated(c.dial), MaxIdleConns: 4096, MaxIdleConnsPerHost: 256, IdleConnTimeout: 90 * time.Second, DisableCompression: true,
+		MaxResponseHeaderBytes: seam.MaxAnswerHead,
 	}
 	// net/http retries a request on its own when a reused connection turns out
 	// to be closed, but never on a new connection. Calls that must not be
 	// repeated therefore each use a new connection.
-	single := &http.Transport{DialContext: gated(c.dial), DisableKeepAlives: true, DisableCompression: true}
+	single := &http.Transport{
+		DialContext: gated(c.dial), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: seam.MaxAnswerHead,
+	}
 	c.pooled, c.single = &http.Client{Transport: pooled}, &http.Client{Transport: single}
 	return c
 }
@@ -159,11 +163,19 @@
 	}
 	resp, err := hc.Do(req)
 	if err != nil {
-		return nil, &Failure{Sent: sent.Load(), Err: err}
+		return nil, &Failure{Sent: sent.Load(), Err: headError(err)}
 	}
 	return resp, nil
 }
 
+// headError returns ErrTooLong for an answer whose head is too long, for which net/http has no error of its own to compare with.
+func headError(err error) error {
+	if text := err.Error(); strings.Contains(text, "server response headers exceeded") {
+		return errors.Wrap(ErrTooLong, text)
+	}
+	return err
+}
+
 // Answer is a complete, non-streamed response.
 type Answer struct {
 	Status int
@@ -183,7 +195,7 @@
 		return Answer{}, &Failure{Sent: true, Err: err}
 	}
 	if int64(len(b)) > c.limit {
-		return Answer{}, &Failure{Sent: true, Err: errors.Errorf("answer is over %d bytes", c.limit)}
+		return Answer{}, &Failure{Sent: true, Err: errors.Wrapf(ErrTooLong, "over %d bytes", c.limit)}
 	}
 	return Answer{Status: resp.StatusCode, Header: resp.Header, Body: b}, nil
 }
--- a/conn/forward.go
+++ b/conn/forward.go
@@ -72,7 +72,7 @@
 	}
 	resp, err := hc.Transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		return nil, &Failure{Sent: sent.Load() && !withheld.Load(), Err: err}
+		return nil, &Failure{Sent: sent.Load() && !withheld.Load(), Err: headError(err)}
 	}
 	return resp, nil
 }
@@ -174,7 +174,7 @@
 		}
 		e.buf = append(e.buf, part...)
 		if len(e.buf) > maxEvent {
-			return nil, errors.Wrap(ErrMalformed, "event too long")
+			return nil, errors.Wrap(ErrTooLong, "an event")
 		}
 		if err == nil {
 			return e.buf[from:], nil
--- a/conn/stream.go
+++ b/conn/stream.go
@@ -19,6 +19,9 @@
 // ErrMalformed reports an event that violates the protocol.
 var ErrMalformed = errors.New("conn: garbled event")
 
+// ErrTooLong reports a part of an answer that is longer than any may be, as endpoints send them without end. It is ErrMalformed.
+var ErrTooLong = errors.Wrap(ErrMalformed, "too long")
+
 // Usage holds the token counts of a completion.
 type Usage struct {
 	PromptTokens     int          `json:"prompt_tokens"`
@@ -122,7 +125,7 @@
 		part, err := s.r.ReadSlice('\n')
 		s.line = append(s.line, part...)
 		if len(s.line) > maxEvent {
-			return nil, errors.Wrap(ErrMalformed, "event too long")
+			return nil, errors.Wrap(ErrTooLong, "an event")
 		}
 		if err == nil {
 			break
--- a/request/relay_test.go
+++ b/request/relay_test.go
@@ -45,30 +45,44 @@
 // Copy implements request.Codec.
 func (relayCodec) Copy(_, _ http.Header) {}
 
-// relayWorld is a server in front of one endpoint, which serves with handle.
+// relayWorld is a server in front of one or more endpoints.
 type relayWorld struct {
 	server  *request.Server
 	service version.Service
 }
 
+// newRelayWorld returns a server in front of one endpoint, which serves with handle.
 func newRelayWorld(t *testing.T, opts request.Options, handle http.HandlerFunc) *relayWorld {
+	return newRelayFleet(t, 1, opts, handle)[0]
+}
+
+// newRelayFleet returns several servers in front of the same endpoints, one for each handler.
+func newRelayFleet(t *testing.T, servers int, opts request.Options, handlers ...http.HandlerFunc) (worlds []*relayWorld) {
 	n := standin.NewNet()
-	l, err := n.Listen("10.0.0.9:80")
-	require.NoError(t, err)
-	endpoint := &http.Server{Handler: handle}
-	go endpoint.Serve(l)
+	address := func(i int) string { return fmt.Sprintf("10.0.0.%d:80", 9+i) }
+	for i, handle := range handlers {
+		l, err := n.Listen(address(i))
+		require.NoError(t, err)
+		endpoint := &http.Server{Handler: handle}
+		go endpoint.Serve(l)
+		t.Cleanup(func() { endpoint.Close() })
+	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	w := &relayWorld{service: version.Service{Name: "plain", PerBox: 4}}
-	client := conn.NewClient(n, 1<<20)
-	w.server = request.NewServer(opts, client, request.NewClaims("self", standin.NewMemory()), nil, log)
-	w.server.Works.Get(&w.service).Pool.Add(request.Endpoint{ID: "i-1", Address: "10.0.0.9:80"})
-	t.Cleanup(func() {
-		w.server.Kill()
-		client.Close()
-		endpoint.Close()
-	})
-	return w
+	for range servers {
+		w := &relayWorld{service: version.Service{Name: "plain", PerBox: 4}}
+		client := conn.NewClient(n, 1<<20)
+		w.server = request.NewServer(opts, client, request.NewClaims("self", standin.NewMemory()), nil, log)
+		for i := range handlers {
+			w.server.Works.Get(&w.service).Pool.Add(request.Endpoint{ID: fmt.Sprint("i-", i+1), Address: address(i)})
+		}
+		worlds = append(worlds, w)
+		t.Cleanup(func() {
+			w.server.Kill()
+			client.Close()
+		})
+	}
+	return worlds
 }
 
 // relayAsk is a caller's request; its path is also its route unless that is given.
--- a/request/settle.go
+++ b/request/settle.go
@@ -128,7 +128,11 @@
 			r.logEject(t, fmt.Sprintf("slow: pace %s, usual pace %s", pace, r.usualPace()), nil)
 		}
 	case EndedUnsent, EndedBroken:
-		if _, leaving := t.Leaving(); !leaving && t.Fail(now, e == EndedUnsent) {
+		fail := t.Fail
+		if errors.Is(failure, conn.ErrTooLong) {
+			fail = t.FailAtOnce
+		}
+		if _, leaving := t.Leaving(); !leaving && fail(now, e == EndedUnsent) {
 			r.logEject(t, e.String(), failure)
 		}
 	case EndedRefused:
--- a/request/target.go
+++ b/request/target.go
@@ -288,12 +288,25 @@
 	if !hard && t.failures < ejectAfter {
 		return false
 	}
+	t.eject(now, hard)
+	return true
+}
+
+// FailAtOnce is Fail for a failure by which the endpoint would harm this daemon again.
+func (t *Target) FailAtOnce(now time.Time, hard bool) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.eject(now, hard)
+	return true
+}
+
+// eject ejects the endpoint, each time for twice as long; the caller holds the lock.
+func (t *Target) eject(now time.Time, hard bool) {
 	t.ejectedFor = min(max(2*t.ejectedFor, ejectMin), ejectMax)
 	t.excludeUntil(now.Add(t.ejectedFor))
 	t.failures = 0
 	t.softEjected.Store(!hard)
 	t.excluded.Store(true)
-	return true
 }
 
 // excludeUntil extends the exclusion to the given time and never shortens it; the caller holds the lock.
--- a/seam/network.go
+++ b/seam/network.go
@@ -60,9 +60,13 @@
 	return errors.Wrap(optErr, "seam: set TCP_USER_TIMEOUT")
 }
 
+// MaxAnswerHead bounds the head of an HTTP answer, in bytes. net/http would read 10 MB, and hold nearly twice as much for it.
+const MaxAnswerHead = 64 << 10
+
 // HTTPClient returns an HTTP client over a Network. Its calls end after the timeout, 0 for none.
 func HTTPClient(n Network, timeout time.Duration) *http.Client {
 	return &http.Client{Timeout: timeout, Transport: &http.Transport{
 		DialContext: n.Dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 90 * time.Second, DisableCompression: true,
+		MaxResponseHeaderBytes: MaxAnswerHead,
 	}}
 }
