request: an answer without a length is given up beyond 4 MB

What callers saw: an answer without end, in chunks or until the close, was held up to 4 MB and then passed on until the caller's deadline, 328 MB to one caller; its endpoint was taken for sound. 620 of 650 calls were served with one such endpoint of five, and a daemon with 60 of them at once held 95 MB.

Cause: an answer too large to hold was streamed whether or not its length was known.

Why it works: where the length is known the answer has an end and is streamed as before. Where it is not, one that is larger than what is held fails its endpoint at once, and a call that may be repeated goes to another; so does the part that was passed on already as the memory was short. Such answers may use a quarter of the memory, not half of it.

--- a/request/memory.go
+++ b/request/memory.go
@@ -52,6 +52,8 @@
 	// answerShare is the share of a Memory that may be in use for a large answer to be held. The rest
 	// accepts requests while many large answers wait for slow callers.
 	answerShare = 0.5
+	// openAnswerShare is that share for answers without a length, which may have no end.
+	openAnswerShare = 0.25
 	// BaseBytes is what a request holds at least: the buffers of its two connections, the stacks of its
 	// goroutines, and copyBytes. 400 callers took 68 KB each on the heap, with their endpoint's side.
 	BaseBytes = 64 << 10
@@ -111,9 +113,13 @@
 	return h.read(r, limit, 0, 1)
 }
 
-// answer is Body for a plain answer.
-func (h *Held) answer(r io.Reader) (b []byte, whole bool, err error) {
-	return h.read(r, maxAnswerBytes, copyBytes, answerShare)
+// answer is Body for a plain answer; open is true if its length is not known.
+func (h *Held) answer(r io.Reader, open bool) (b []byte, whole bool, err error) {
+	share := answerShare
+	if open {
+		share = openAnswerShare
+	}
+	return h.read(r, maxAnswerBytes, copyBytes, share)
 }
 
 // read is Body without a reservation for the covered bytes, within a share of the memory.
--- a/request/relayanswer.go
+++ b/request/relayanswer.go
@@ -16,13 +16,35 @@
 // maxAnswerBytes is the maximum size in bytes of an answer that is read completely before it is forwarded.
 const maxAnswerBytes = 4 << 20
 
+// errOpenAnswer ends an answer without a length, which may have no end either, that is larger than what can be held.
+var errOpenAnswer = errors.Wrap(conn.ErrTooLong, "an answer without a length")
+
+// boundedReader fails with errOpenAnswer once more than a number of bytes has been read.
+type boundedReader struct {
+	io.Reader
+	left int
+}
+
+// Read implements io.Reader.
+func (b *boundedReader) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if b.left -= n; b.left < 0 {
+		return 0, errOpenAnswer
+	}
+	return n, err
+}
+
 // forwardAnswer forwards an answer that is not a stream. As long as it can be held it is read completely
-// first, so that another endpoint may succeed if it is cut or a server error. A larger one is streamed. final is set
+// first, so that another endpoint may succeed if it is cut or a server error. A larger one whose length is known is
+// streamed. final is set
 // if another daemon has sent the request to its endpoints and passes on the last answer.
 func (r *run) forwardAnswer(ctx context.Context, resp *http.Response, head AnswerHead, dog watchdog, final bool) (Ending, error) {
 	x := r.req.Relay
 	before := r.req.Held.size()
-	body, whole, err := r.req.Held.answer(resp.Body)
+	body, whole, err := r.req.Held.answer(resp.Body, resp.ContentLength < 0)
+	if err == nil && !whole && resp.ContentLength < 0 && len(body) >= maxAnswerBytes {
+		err = errOpenAnswer
+	}
 	if err != nil {
 		r.req.Held.shrinkTo(before)
 		return EndedBroken, &conn.Failure{Sent: true, Err: err}
@@ -68,7 +90,11 @@
 	r.toCaller(func() { x.write(resp.StatusCode, resp.Header, body) })
 	r.req.Held.shrinkTo(before)
 	// The plain io.Writer keeps io.CopyBuffer from the writer's own, larger buffer.
-	if _, err := io.CopyBuffer(callerWriter{r}, resp.Body, make([]byte, copyBytes)); err != nil {
+	rest := io.Reader(resp.Body)
+	if resp.ContentLength < 0 {
+		rest = &boundedReader{rest, maxAnswerBytes - len(body)}
+	}
+	if _, err := io.CopyBuffer(callerWriter{r}, rest, make([]byte, copyBytes)); err != nil {
 		return r.endingOfCut(ctx), &conn.Failure{Sent: true, Err: err}
 	}
 	r.succeeded = resp.StatusCode < http.StatusMultipleChoices
--- a/request/unbounded_test.go
+++ b/request/unbounded_test.go
@@ -71,6 +71,14 @@
 		endless(c, "X: y\r\n", 5*time.Millisecond)
 	},
 	"interim answers": func(c net.Conn) { endless(c, strings.Repeat("HTTP/1.1 103 Early Hints\r\nX: y\r\n\r\n", 1<<10), fast) },
+	"a chunked body": func(c net.Conn) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+		endless(c, "10000\r\n"+strings.Repeat("x", 64<<10)+"\r\n", fast)
+	},
+	"a body until the close": func(c net.Conn) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+		endless(c, strings.Repeat("x", 64<<10), fast)
+	},
 	"an event": func(c net.Conn) {
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: ")
 		endless(c, strings.Repeat("x", 64<<10), fast)
