request: comments and events without an id are no progress of a stream

What callers saw: a stream whose endpoint sent comments or events without an id after its first events was lost at its deadline, with megabytes of them passed on; nothing was taken up elsewhere, and the endpoint was chosen again and again.

Cause: after the head was written, each comment began the wait for the next event anew, and an event without an id was passed on and ended the stream's chance to go on elsewhere.

Why it works: only events restart the stall timeout; a comment lets it go on from where it was before the caller was written to. More than 16 KB of comments before an event fail the endpoint at once, as before the first one, and an event without an id in a stream whose events have ids is malformed. The stream goes on elsewhere after its last event.

--- a/request/relay.go
+++ b/request/relay.go
@@ -110,6 +110,7 @@
 	errOtherAnswer = errors.New("request: answer belongs to another request")
 	errUnsigned    = errors.New("request: answer is not signed by the endpoint")
 	errEventOrder  = errors.New("request: stream event missing or duplicated")
+	errNoEventID   = errors.New("request: event without an id in a stream whose events have ids")
 	errStaleList   = errors.New("request: endpoint list became too old before the endpoint was reached")
 	errDeadline    = errors.New("request: deadline exceeded")
 	errCallerWrite = errors.New("request: writing to the caller failed")
@@ -187,6 +188,7 @@
 // does nothing.
 type watchdog struct {
 	timer   *time.Timer
+	until   *time.Time // when the timer fires, unless the caller is being written to
 	stall   time.Duration
 	stopped *atomic.Bool // the attempt has ended; checked by the timer, which may fire concurrently with stop
 	paused  *atomic.Bool // the same while the caller is being written to
@@ -199,20 +201,29 @@
 	}
 }
 
-// reset restarts the stall timeout when the endpoint has sent data.
+// reset restarts the stall timeout when the endpoint has sent an event.
 func (w watchdog) reset() {
 	if w.timer != nil {
+		*w.until = time.Now().Add(w.stall)
 		w.paused.Store(false)
 		w.timer.Reset(w.stall)
 	}
 }
 
-// pause stops the stall timeout until the next reset, while the caller is slow to read: the endpoint is not
-// silent, it is not being read.
-func (w watchdog) pause() {
-	if w.timer != nil {
-		w.paused.Store(true)
-		w.timer.Stop()
+// pause stops the stall timeout until the next reset or the returned function is called, while the caller is slow to read:
+// the endpoint is not silent, it is not being read.
+func (w watchdog) pause() (resume func()) {
+	if w.timer == nil {
+		return func() {}
+	}
+	began := time.Now()
+	w.paused.Store(true)
+	w.timer.Stop()
+	return func() {
+		now := time.Now()
+		*w.until = w.until.Add(now.Sub(began))
+		w.paused.Store(false)
+		w.timer.Reset(max(w.until.Sub(now), clock.LeastTimer))
 	}
 }
 
@@ -226,7 +237,8 @@
 		return watchdog{}
 	}
 	wait := max(r.req.Route.Target.Duration, minAnswerTime) + c.First
-	w := watchdog{stall: max(stallFactor*x.Pause, minStallTimeout), stopped: new(atomic.Bool), paused: new(atomic.Bool)}
+	until := time.Now().Add(wait)
+	w := watchdog{until: &until, stall: max(stallFactor*x.Pause, minStallTimeout), stopped: new(atomic.Bool), paused: new(atomic.Bool)}
 	var mu sync.Mutex // w.timer is assigned before its callback reads it
 	mu.Lock()
 	defer mu.Unlock()
--- a/request/relaystream.go
+++ b/request/relaystream.go
@@ -26,12 +26,13 @@
 
 	prefilled time.Duration // the engine's prefill time at the first event
 	lead      []byte        // comments before the first event
+	comments  int           // bytes of comments since the last event
 }
 
-// maxLead is the maximum size in bytes of the comments before the first event.
-const maxLead = 16 << 10
+// maxComments is the maximum size in bytes of the comments before an event.
+const maxComments = 16 << 10
 
-var errLead = errors.Wrap(conn.ErrMalformed, "too many comments before the first event")
+var errComments = errors.Wrap(conn.ErrTooLong, "comments before an event")
 
 // forwardEvents forwards a stream event by event. The head is written with the first
 // event, so that until then the request can be retried elsewhere.
@@ -43,13 +44,18 @@
 	defer r.req.Held.shrinkTo(r.req.Held.size()) // of large events
 	for {
 		ev, err := events.Next()
-		if err == nil && ev.Comment && !x.headWritten {
-			if s.lead = append(s.lead, ev.Raw...); len(s.lead) > maxLead {
-				return EndedBroken, errLead
+		if err == nil && ev.Comment {
+			if s.comments += len(ev.Raw); s.comments > maxComments {
+				return EndedBroken, errComments
 			}
-			continue // a comment does not end the wait for the first event
+			if !x.headWritten {
+				s.lead = append(s.lead, ev.Raw...)
+				continue
+			}
+		} else {
+			s.comments = 0
+			dog.reset() // a comment does not end the wait for an event
 		}
-		dog.reset()
 		switch {
 		case err == io.EOF:
 			s.end()
@@ -60,8 +66,11 @@
 			return r.endingOfCut(ctx), &conn.Failure{Sent: true, Err: err}
 		}
 		s.record(ev)
-		if ev.ID >= 0 && x.Position.passed(ev.ID) {
+		switch {
+		case ev.ID >= 0 && x.Position.passed(ev.ID):
 			return EndedBroken, errEventOrder
+		case ev.ID < 0 && !ev.Comment && x.Position.Known:
+			return EndedBroken, errNoEventID
 		}
 		if err := s.pass(ev); err != nil {
 			return EndedBroken, errors.Wrap(errCallerWrite, err.Error())
@@ -100,7 +109,7 @@
 		x.bind(s.choice, s.told)
 		s.writeHead()
 	}
-	s.dog.pause()
+	resume := s.dog.pause()
 	s.toCaller(func() {
 		if _, err = x.Out.Write(ev.Raw); err == nil {
 			err = s.flush.Flush()
@@ -109,11 +118,15 @@
 	if err != nil {
 		return err
 	}
+	if ev.Comment {
+		resume()
+		return nil
+	}
 	s.dog.reset()
 	switch {
 	case ev.ID >= 0:
 		x.Position = PositionAfter(ev.ID)
-	case !ev.Comment:
+	default:
 		x.streamed = true
 	}
 	return nil
--- a/request/unbounded_test.go
+++ b/request/unbounded_test.go
@@ -87,6 +87,10 @@
 		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n")
 		endless(c, strings.Repeat(": x\n\n", 10<<10), fast)
 	},
+	"a stream of events without id": func(c net.Conn) {
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: x\n\n")
+		endless(c, strings.Repeat("data: x\n\n", 7<<10), fast)
+	},
 }
 
 // onConnection serves requests on the bare connection.
