request: only chunks with tokens keep an engine's answer from being taken up elsewhere

What callers saw: an engine that sends chunks without tokens was taken for alive as long as it sent them.

Cause: each chunk restarted the stall timeout, whatever it held; as with comments in a relayed stream, what arrives was taken for progress.

Evidence: TestAnAnswerGoesOnElsewhereIfItsEngineSendsNoTokens: the first answer had not ended after ten minutes before; each of 20 is whole within 3 s now.

Why it works: progress is a token.

--- a/request/attempt.go
+++ b/request/attempt.go
@@ -319,7 +319,7 @@
 			r.succeeded = true
 			return EndedComplete, nil
 		}
-		if !r.req.Unrepeatable {
+		if !r.req.Unrepeatable && len(ch.Tokens) > 0 {
 			dog.Reset(r.opts.Stall)
 		}
 		if ch.Usage != nil && ch.Usage.PromptTokens > 0 {
--- a/request/stalledstream_test.go
+++ b/request/stalledstream_test.go
@@ -9,12 +9,15 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
+	"streambend.example/internal/standin"
 	"streambend.example/request"
 	"streambend.example/version"
 )
@@ -81,3 +84,35 @@
 		})
 	}
 }
+
+// An engine that sent chunks without tokens was taken for alive until the deadline.
+func TestAnAnswerGoesOnElsewhereIfItsEngineSendsNoTokens(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newTestCluster([]standin.EngineFault{{}})
+		defer o.close()
+		l, err := o.net.Listen("10.0.9.9:80")
+		require.NoError(t, err)
+		var asked atomic.Int64
+		bad := &http.Server{Handler: http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+			asked.Add(1)
+			id := r.Header.Get("X-Request-Id")
+			onConnection(func(c net.Conn) {
+				io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\n")
+				endless(c, fmt.Sprintf("data: {\"id\":\"cmpl-%s\"}\n\n", id), 5*time.Millisecond)
+			})(out, r)
+		})}
+		go bad.Serve(l)
+		defer bad.Close()
+		s := o.start("a")
+		s.Works.Get(&svc).Pool.Add(request.Endpoint{ID: "bad", Address: "10.0.9.9:80"})
+		for i := range 20 {
+			began := time.Now()
+			id := fmt.Sprint("r", i)
+			text, err := answer(s, newRequest("digest", id, ""))
+			assert.NoError(t, err)
+			assert.Equal(t, wantText(id), text)
+			assert.Less(t, time.Since(began), 3*time.Second)
+		}
+		assert.Positive(t, asked.Load())
+	})
+}
