--- a/estimate/times.go
+++ b/estimate/times.go
@@ -106,11 +106,11 @@
 	t.all.add(s.Took.Seconds(), weight)
 }
 
-// RecordExceeded records that a request had not ended at its deadline, for which it had waited since it arrived.
-func (t *Times) RecordExceeded(now time.Time, route string, size int, waited time.Duration) {
+// RecordExceeded records that a request had not ended at its deadline; given is the time that it had from when it was sent.
+func (t *Times) RecordExceeded(now time.Time, route string, size int, given time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.route(route).ofSize(size).recordOutcome(now, outcomes{exceeded: 1, longest: waited.Seconds()})
+	t.route(route).ofSize(size).recordOutcome(now, outcomes{exceeded: 1, longest: given.Seconds()})
 }
 
 // Expect returns the mean time of a route's requests, 0 if it is not known.
