request: a call of a route that takes long is not taken for silent

What callers saw: on a route with calls of 400 ms and of 10 ms, 50 a second of each over eight daemons and four endpoints with 24 slots, 284 of 719 quick and 699 of 719 slow calls were served (processes, beside load); the endpoints ran many slow calls twice.

Cause: a call that may be repeated was given up once its endpoint had been silent for the route's latency target, 0.3 s, and sent to another; the time that such calls take was not looked at, nor learned, as only calls of one attempt were samples.

Evidence: the daemons' logs name silence for 190 attempts and the deadline for the rest, and none 1102.

Why it works: a plain call is silent after the bound of its route and size, if that is longer than the target and half of its time remains for another attempt. Each attempt of a plain call gets the whole answer, so the last one is a sample too.

--- a/request/deadline_test.go
+++ b/request/deadline_test.go
@@ -28,24 +28,33 @@
 
 // playCalls sends calls of several kinds for a time, and returns how many of each were sent and served.
 func playCalls(t *testing.T, span time.Duration, kinds ...callMix) (sent, served map[string]int) {
-	sent, served = make(map[string]int), make(map[string]int)
+	sent, served, _ = playRepeatableCalls(t, span, false, kinds...)
+	return sent, served
+}
+
+// playRepeatableCalls is playCalls for calls that may be repeated or not. It also returns how many arrived at the endpoint.
+func playRepeatableCalls(t *testing.T, span time.Duration, repeatable bool, kinds ...callMix) (sent, served, arrived map[string]int) {
+	sent, served, arrived = make(map[string]int), make(map[string]int), make(map[string]int)
+	var mu sync.Mutex
 	w := newRelayWorld(t, request.Defaults(), func(out http.ResponseWriter, r *http.Request) {
 		io.Copy(io.Discard, r.Body)
 		for _, k := range kinds {
 			if r.URL.RawQuery == k.name {
+				mu.Lock()
+				arrived[k.name]++
+				mu.Unlock()
 				time.Sleep(k.takes)
 			}
 		}
 	})
 	w.server.Works.Get(&w.service).Queue.Limit.Fix(24)
 	var wg sync.WaitGroup
-	var mu sync.Mutex
 	for _, k := range kinds {
 		wg.Go(func() {
 			for i := range int(span / k.interval) {
 				time.Sleep(k.interval)
 				wg.Go(func() {
-					status := w.ask(t, relayAsk{id: fmt.Sprint(k.name, i), path: "/x?" + k.name, route: "x", wait: k.wait, unrepeatable: true})
+					status := w.ask(t, relayAsk{id: fmt.Sprint(k.name, i), path: "/x?" + k.name, route: "x", wait: k.wait, unrepeatable: !repeatable})
 					mu.Lock()
 					defer mu.Unlock()
 					sent[k.name]++
@@ -57,7 +66,8 @@
 		})
 	}
 	wg.Wait()
-	return sent, served
+	time.Sleep(time.Second) // the endpoint ends what its callers have left
+	return sent, served, arrived
 }
 
 // Quick calls of a route were refused by its mean time, which slow calls of the route had raised.
@@ -144,3 +154,15 @@
 		assert.GreaterOrEqual(t, served, 95)
 	})
 }
+
+// Slow calls of a route were sent a second time by its latency target, as if their endpoint were silent.
+func TestSlowCallsOfARouteAreNotTakenForSilent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sent, served, arrived := playRepeatableCalls(t, 30*time.Second, true,
+			callMix{"slow", 400 * time.Millisecond, 1500 * time.Millisecond, 160 * time.Millisecond},
+			callMix{"quick", 10 * time.Millisecond, 150 * time.Millisecond, 160 * time.Millisecond})
+		t.Logf("%v sent, %v served, %v arrived", sent, served, arrived)
+		assert.Equal(t, sent["slow"], served["slow"])
+		assert.LessOrEqual(t, float64(arrived["slow"]), 1.1*float64(sent["slow"]))
+	})
+}
--- a/request/relay.go
+++ b/request/relay.go
@@ -237,6 +237,11 @@
 		return watchdog{}
 	}
 	wait := max(r.req.Route.Target.Duration, minAnswerTime) + c.First
+	if !x.Streaming { // a call of a kind that takes long is not silent, as long as there is time for another attempt
+		now := r.Now()
+		bound, _ := r.work.Times.Bound(now, r.req.Route.Name, r.req.size())
+		wait = max(wait, min(bound, r.req.Deadline.Sub(now)/2))
+	}
 	until := time.Now().Add(wait)
 	w := watchdog{until: &until, stall: max(stallFactor*x.Pause, minStallTimeout), stopped: new(atomic.Bool), paused: new(atomic.Bool)}
 	var mu sync.Mutex // w.timer is assigned before its callback reads it
--- a/request/settle.go
+++ b/request/settle.go
@@ -240,7 +240,7 @@
 	}
 	r.life.apply(event)
 	r.logEnd(now, nil)
-	if r.attempts == 1 && r.succeeded && !r.continues {
+	if r.succeeded && (r.attempts == 1 && !r.continues || r.answersWhole()) {
 		r.work.Times.Record(now, r.req.Route.Name, estimate.Sample{Size: r.req.size(), Took: r.endpointTime(now), Events: r.events, Probe: r.probe})
 	}
 	if r.req.Relay != nil && r.req.Relay.Streaming {
@@ -258,6 +258,11 @@
 	}
 }
 
+// answersWhole reports whether each attempt gets the whole answer, as opposed to the rest of a stream.
+func (r *run) answersWhole() bool {
+	return !r.req.IsModel() && (r.req.Relay == nil || !r.req.Relay.Streaming)
+}
+
 // storeAnswer stores the answer with its claim. The caller has the answer already; until
 // it is stored, repeats of the call are answered as still running.
 func (r *run) storeAnswer() {
