request: a call that is too late for a retry is not repeated, and ejects no endpoint

Cause: an attempt that fails just before the deadline was judged as one to be repeated. The backoff outlasts the deadline, another endpoint is chosen with left_ms=-8, nothing is sent to it, and the attempt ends as 'unsent', which ejects that endpoint at once for a second or longer.

Fix: what follows an attempt is judged with the backoff before the next one and, for calls that get a whole answer, with the time that the call surely takes; an attempt that begins after the deadline is recorded for no endpoint.

--- a/request/deadline_test.go
+++ b/request/deadline_test.go
@@ -166,3 +166,34 @@
 		assert.LessOrEqual(t, float64(arrived["slow"]), 1.1*float64(sent["slow"]))
 	})
 }
+
+// A call whose deadline passed in the backoff before a retry ejected the endpoint chosen for it as unreachable.
+func TestACallThatIsTooLateForARetryEjectsNoEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		opts := request.Defaults()
+		opts.Grace = 0
+		var arrived [3]atomic.Int64
+		var handlers []http.HandlerFunc
+		for i := range arrived {
+			handlers = append(handlers, func(out http.ResponseWriter, r *http.Request) {
+				io.Copy(io.Discard, r.Body)
+				if r.URL.RawQuery == "fails" {
+					time.Sleep(148 * time.Millisecond)
+					panic(http.ErrAbortHandler)
+				}
+				arrived[i].Add(1)
+			})
+		}
+		w := newRelayFleet(t, 1, opts, handlers...)[0]
+		ask := func(id, query string) int {
+			return w.ask(t, relayAsk{id: id, path: "/x?" + query, route: "x", wait: 150 * time.Millisecond})
+		}
+		assert.NotEqual(t, http.StatusOK, ask("fails", "fails"))
+		for i := range 30 {
+			assert.Equal(t, http.StatusOK, ask(fmt.Sprint("ends-", i), ""))
+		}
+		for i := range arrived {
+			assert.Positive(t, arrived[i].Load(), "endpoint %d", i)
+		}
+	})
+}
--- a/request/relay.go
+++ b/request/relay.go
@@ -113,6 +113,7 @@
 	errNoEventID   = errors.New("request: event without an id in a stream whose events have ids")
 	errStaleList   = errors.New("request: endpoint list became too old before the endpoint was reached")
 	errDeadline    = errors.New("request: deadline exceeded")
+	errNoTimeLeft  = errors.New("request: deadline exceeded before the attempt")
 	errCallerWrite = errors.New("request: writing to the caller failed")
 )
 
@@ -123,7 +124,7 @@
 	r.callerTime = 0
 	left := r.req.Deadline.Sub(r.Now())
 	if left <= 0 {
-		return EndedUnsent, errDeadline
+		return EndedUnsent, errNoTimeLeft
 	}
 	ctx, cancelLate := context.WithTimeoutCause(ctx, left, errDeadline)
 	defer cancelLate()
--- a/request/settle.go
+++ b/request/settle.go
@@ -38,7 +38,7 @@
 		r.ends.connectionClosed(r.baseCtx, t, r.flight(now))
 	}
 	r.recordPath(now, t, e, failure)
-	if !errors.Is(failure, errStaleList) && !errors.Is(failure, errBarred) {
+	if !errors.Is(failure, errStaleList) && !errors.Is(failure, errBarred) && !errors.Is(failure, errNoTimeLeft) {
 		r.recordOutcome(now, t, e, failure)
 	}
 	if errors.Is(failure, errDeadline) && e == EndedBroken && r.attempts == 1 && r.endpointTime(now) > r.callerTime {
@@ -47,7 +47,7 @@
 	r.noteTrial(now, t, e, failure)
 	a := AttemptOutcome{
 		Ending: e, Unrepeatable: r.req.Unrepeatable, MayHaveRun: r.life.MayHaveRun,
-		Budget: r.opts.NoBudget || r.retryCharged.Load() || r.work.Budget.Left(now), GiveUpAt: r.giveUpAt(),
+		Budget: r.opts.NoBudget || r.retryCharged.Load() || r.work.Budget.Left(now), GiveUpAt: r.retryUntil(),
 		Strict: r.opts.Retries != nil, AttemptsExhausted: r.attemptsExhausted(e),
 	}
 	v := r.judgeSecondRun(e, failure, r.opts.judge(now, &a))
@@ -62,6 +62,20 @@
 	return r.follow(ctx, now, e, v, t, failure)
 }
 
+// retryUntil returns the time from which on the request is not sent again: a further attempt would begin after the backoff,
+// and would end after the deadline.
+func (r *run) retryUntil() time.Time {
+	until := r.giveUpAt()
+	if r.req.Relay == nil {
+		return until // it goes on past its deadline
+	}
+	until = until.Add(-r.retryBackoff())
+	if r.answersWhole() {
+		until = until.Add(-r.ticket.Least)
+	}
+	return until
+}
+
 // countDenied counts an attempt that may not be repeated for want of retry budget alone.
 func (r *run) countDenied(a AttemptOutcome, v Verdict) {
 	if !a.Budget && !a.AttemptsExhausted && v.Action != Finish && v.Action != Retry {
@@ -203,9 +217,12 @@
 		r.backOff(ctx, longBackoffStep+time.Duration(min(r.attempts, 6))*longBackoffStep)
 		return
 	}
-	r.backOff(ctx, time.Duration(min(r.attempts, 6))*backoffStep)
+	r.backOff(ctx, r.retryBackoff())
 }
 
+// retryBackoff returns the longest backoff before the next attempt, while the retry budget allows one.
+func (r *run) retryBackoff() time.Duration { return time.Duration(min(r.attempts, 6)) * backoffStep }
+
 // backOff waits for between half of a time and all of it.
 func (r *run) backOff(ctx context.Context, backoff time.Duration) {
 	select {
