entry: a daemon that becomes its zone's reader again asks for all tallies

What callers could see: the daemons of a zone whose reader and another daemon died go by sums that lack what the dead one had admitted, so that a team gets more than its limit until those admissions have aged.

Cause: a reader asks another one for the tallies of all daemons with its first query after the start, and then only for those that daemons of that zone send themselves. A daemon that joins knows few members and may take itself for the reader; its next time as the reader is not the first.

Fix: the positions of the queries are forgotten by a daemon that is not the reader, so that it begins with all tallies whenever it becomes one.

--- a/entry/largefleet_test.go
+++ b/entry/largefleet_test.go
@@ -149,23 +149,48 @@
 	inZones(t, 18, []string{"a", "b", "c"}, func(w *world) {
 		w.runner(plain, "a", "i-1", 0)
 		time.Sleep(time.Second)
-		readers := w.readers()
-		dies := slices.IndexFunc(w.daemons, func(d *entry.Daemon) bool { return d.Self.Zone == "a" && !slices.Contains(readers, d) })
-		require.Equal(t, http.StatusOK, w.ask(dies, http.MethodPost, "/write/", "id-1").status)
-		time.Sleep(1500 * time.Millisecond) // until the readers have exchanged tallies
-		name := w.daemons[dies].Self.Name
-		w.daemons[dies].Kill()
-		reader := slices.IndexFunc(w.daemons, func(d *entry.Daemon) bool { return d.Self.Zone == "a" && slices.Contains(readers, d) })
-		w.daemons[reader].Kill()
+		w.checkNextReaderKnowsTallies()
+	})
+}
+
+// A daemon that had been its zone's reader before, if only while it joined, asked for no tallies of dead daemons again.
+func TestAReaderForTheSecondTimeKnowsTheTalliesOfDeadDaemons(t *testing.T) {
+	inZones(t, 18, []string{"a", "b", "c"}, func(w *world) {
+		w.runner(plain, "a", "i-1", 0)
+		time.Sleep(time.Second)
+		first := w.readerOf("a")
+		w.kill(first)
 		time.Sleep(12 * time.Second)
-		for _, d := range w.daemons {
-			if r, _ := entry.Reader("a", readers[2].Hub.Mesh.Members()); r.Name == d.Self.Name {
-				assert.Equal(t, 1, w.begunCount(readers[2], d.Self.Name, name))
-			}
-		}
+		require.NotEqual(t, first, w.readerOf("a"))
+		w.daemons[first] = w.startNamed(w.daemons[first].Self.Name, first)
+		time.Sleep(3 * time.Second)
+		require.Equal(t, first, w.readerOf("a"))
+		w.checkNextReaderKnowsTallies()
 	})
 }
 
+// readerOf returns the daemon that reads the store for a zone, as the last daemon knows.
+func (w *world) readerOf(zone string) int {
+	r, _ := entry.Reader(zone, w.daemons[len(w.daemons)-1].Hub.Mesh.Members())
+	return slices.IndexFunc(w.daemons, func(d *entry.Daemon) bool { return d.Self.Name == r.Name })
+}
+
+// checkNextReaderKnowsTallies kills a daemon of zone a that has begun a request and the reader there, and checks that the
+// next reader knows of the request.
+func (w *world) checkNextReaderKnowsTallies() {
+	reader := w.readerOf("a")
+	dies := slices.IndexFunc(w.daemons, func(d *entry.Daemon) bool { return d.Self.Zone == "a" && d != w.daemons[reader] })
+	require.Equal(w.t, http.StatusOK, w.ask(dies, http.MethodPost, "/write/", "id-1").status)
+	time.Sleep(1500 * time.Millisecond) // until the readers have exchanged tallies
+	name := w.daemons[dies].Self.Name
+	w.daemons[dies].Kill()
+	w.daemons[reader].Kill()
+	time.Sleep(12 * time.Second)
+	next := w.daemons[w.readerOf("a")].Self.Name
+	require.NotEqual(w.t, w.daemons[reader].Self.Name, next)
+	assert.Equal(w.t, 1, w.begunCount(w.daemons[len(w.daemons)-1], next, name))
+}
+
 // During an update of the fleet readers of two versions coexist: a query in the old format must be accepted
 // and answered.
 func TestAReaderOfThePreviousVersionIsAnswered(t *testing.T) {
--- a/entry/tallyexchange.go
+++ b/entry/tallyexchange.go
@@ -75,6 +75,7 @@
 		return
 	}
 	if !d.isReader() {
+		d.feeds.reset()
 		return
 	}
 	for i, name := range d.roster().Beyond {
@@ -129,6 +130,13 @@
 	t.at[f] = q
 }
 
+// reset forgets the positions.
+func (t *tallyFeeds) reset() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	clear(t.at)
+}
+
 // started reports whether any feed has been answered.
 func (t *tallyFeeds) started() bool {
 	t.mu.Lock()
@@ -137,7 +145,7 @@
 }
 
 // tallyScope returns the scope for a query to the reader at a place among the others. It is all tallies if
-// some reader is unreachable, and for one reader after a start: the previous reader of this zone may have
+// some reader is unreachable, and for one reader once this daemon has become one: the previous reader of this zone may have
 // held tallies of daemons that no longer send their own.
 func (d *Daemon) tallyScope(now time.Time, place int) Scope {
 	if d.contact.readerMissing(now) || place == 0 && !d.feeds.started() {
