--- a/request/relayanswer.go
+++ b/request/relayanswer.go
@@ -36,8 +36,7 @@
 
 // forwardAnswer forwards an answer that is not a stream. As long as it can be held it is read completely
 // first, so that another endpoint may succeed if it is cut or a server error. A larger one whose length is known is
-// streamed. final is set
-// if another daemon has sent the request to its endpoints and passes on the last answer.
+// streamed. final is set if another daemon has sent the request to its endpoints and passes on the last answer.
 func (r *run) forwardAnswer(ctx context.Context, resp *http.Response, head AnswerHead, dog watchdog, final bool) (Ending, error) {
 	x := r.req.Relay
 	before := r.req.Held.size()
