--- a/review/standin-2/main_test.go
+++ b/review/standin-2/main_test.go
@@ -42,7 +42,7 @@
 	unable = 2
 )
 
-var cases = map[string]func(rec *record, trouble bool) int{"mixed": mixed, "twice": twice}
+var cases = map[string]func(rec *record, trouble bool) int{"mixed": mixed, "twice": twice, "lost": lost}
 
 // TestMain runs the case that CASE names, in the folder above target/, and writes to the file RECORD.
 func TestMain(m *testing.M) {
--- a/review/standin-2/mixed_test.go
+++ b/review/standin-2/mixed_test.go
@@ -12,7 +12,7 @@
 // mixed: for 5 s, half of the runners of a plain service follow one answer in 34 with a second one, which arrives late, in
 // the place of the next, and does not name a request. No client may receive it.
 func mixed(rec *record, trouble bool) int {
-	w := newWorld(4, rec)
+	w := newWorld("abcd", rec)
 	defer w.end()
 	w.usual()
 	for i := range 4 {
--- a/review/standin-2/runner_test.go
+++ b/review/standin-2/runner_test.go
@@ -24,9 +24,10 @@
 	gap               time.Duration // between two events
 	rec               *record
 
-	slow    atomic.Int64 // factor; 0 means 1
-	surplus atomic.Int64 // one answer in so many is followed by a second one; 0 for none
-	lingers bool         // it does not drop a request whose connection has closed
+	slow    atomic.Int64        // factor; 0 means 1
+	surplus atomic.Int64        // one answer in so many is followed by a second one; 0 for none
+	lingers bool                // it does not drop a request whose connection has closed
+	length  func(id string) int // number of events of a request's stream; nil for events
 
 	l        net.Listener
 	mu       sync.Mutex
@@ -155,7 +156,11 @@
 		}
 		fmt.Fprintf(c, "%x\r\n%s\r\n", len(s), s)
 	}
-	for i := from + 1; i <= r.events; i++ {
+	last := r.events
+	if r.length != nil {
+		last = r.length(id)
+	}
+	for i := from + 1; i <= last; i++ {
 		wait := r.gap
 		if i == from+1 {
 			wait = r.work
--- a/review/standin-2/twice_test.go
+++ b/review/standin-2/twice_test.go
@@ -15,7 +15,7 @@
 // twice: one of six runners works five times as long for 6.5 s, and is one of those that do not drop a request once its
 // connection closes. No request may go on at another runner while that one works on it.
 func twice(rec *record, trouble bool) int {
-	w := newWorld(4, rec)
+	w := newWorld("abcd", rec)
 	defer w.end()
 	w.usual()
 	for i := range 6 {
--- a/review/standin-2/world_test.go
+++ b/review/standin-2/world_test.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -21,26 +22,28 @@
 
 var taken = map[string]bool{}
 
+// freeAddr returns a free address, each only once. Its port is below those that the system gives to outgoing connections,
+// one of which could take it before the daemon opens it.
 func freeAddr() string {
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			panic(err)
+		a := fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000))
+		if taken[a] {
+			continue
 		}
-		a := l.Addr().String()
-		l.Close()
-		if !taken[a] {
-			taken[a] = true
+		taken[a] = true
+		l, err := net.Listen("tcp", a)
+		if err == nil {
+			l.Close()
 			return a
 		}
 	}
 }
 
 type daemon struct {
-	name, settings, callers, ready string
-	cmd                            *exec.Cmd
-	ended                          chan struct{}
-	log                            *os.File
+	name, zone, settings, callers, ready string
+	cmd                                  *exec.Cmd
+	ended                                chan struct{}
+	log                                  *os.File
 }
 
 type world struct {
@@ -73,7 +76,8 @@
 	}
 }
 
-func newWorld(n int, rec *record) *world {
+// newWorld starts the platform of a deployment, and prepares a daemon for each of the zones.
+func newWorld(zones string, rec *record) *world {
 	dir, err := os.MkdirTemp("", "review-")
 	must(err)
 	w := &world{dir: dir, rec: rec}
@@ -81,17 +85,17 @@
 	must(err)
 	w.api, err = standin.NewDutyAPI(seam.TCP{}, "127.0.0.1:0")
 	must(err)
-	for i := range n {
-		w.add(i)
+	for i := range zones {
+		w.add(i, zones[i:i+1])
 	}
 	return w
 }
 
-func (w *world) add(i int) *daemon {
-	d := &daemon{name: fmt.Sprintf("frontend-%d", i+1), callers: freeAddr(), ready: freeAddr()}
+func (w *world) add(i int, zone string) {
+	d := &daemon{name: fmt.Sprintf("frontend-%s-%d", zone, i+1), zone: zone, callers: freeAddr(), ready: freeAddr()}
 	d.settings = filepath.Join(w.dir, d.name+".json")
 	b, _ := json.Marshal(map[string]any{
-		"node_name": d.name, "role": "entry", "machine_class": "frontend", "zone": "abcd"[i%4 : i%4+1], "ip_address": "127.0.0.1", "bootstrap": true,
+		"node_name": d.name, "role": "entry", "machine_class": "frontend", "zone": zone, "ip_address": "127.0.0.1", "bootstrap": true,
 		"listen_addresses": map[string]string{"frontend": d.callers, "ready": d.ready, "control_plane": freeAddr()},
 		"limits":           map[string]any{"cpu_share": 0.4, "cores": 1, "memory_mb": 284, "file_descriptors": 4100, "bandwidth_mbps": 1000},
 		"bounds": map[string]any{
@@ -103,7 +107,6 @@
 	})
 	must(os.WriteFile(d.settings, b, 0o600))
 	w.daemons = append(w.daemons, d)
-	return d
 }
 
 func (d *daemon) start() {
@@ -125,6 +128,15 @@
 	go func(c *exec.Cmd, e chan struct{}) { c.Wait(); close(e) }(d.cmd, d.ended)
 }
 
+// startedOnce says in the settings of all daemons that the whole system has been started before.
+func (w *world) startedOnce() {
+	for _, d := range w.daemons {
+		b, err := os.ReadFile(d.settings)
+		must(err)
+		must(os.WriteFile(d.settings, []byte(strings.Replace(string(b), `"bootstrap":true`, `"bootstrap":false`, 1)), 0o600))
+	}
+}
+
 func (d *daemon) signal(s syscall.Signal) { d.cmd.Process.Signal(s) }
 
 func (d *daemon) isReady() bool {
