--- a/review/standin-2/twice_test.go
+++ b/review/standin-2/twice_test.go
@@ -12,13 +12,13 @@
 // stillWorking is the rule's time after which the previous runner must not be at work any more.
 const stillWorking = 400 * time.Millisecond
 
-// twice: one of six runners works five times as long for 6.5 s, and is one of those that do not drop a request once its
+// twice: one of seven runners works five times as long for 6.5 s, and is one of those that do not drop a request once its
 // connection closes. No request may go on at another runner while that one works on it.
 func twice(rec *record, trouble bool) int {
 	w := newWorld("abcd", rec)
 	defer w.end()
 	w.usual()
-	for i := range 6 {
+	for i := range 7 {
 		w.runner(&runner{
 			id: fmt.Sprintf("i-lm-%d", i), service: "lm", zone: "abcd"[i%4 : i%4+1], slots: 64, work: 180 * time.Millisecond, events: 40, gap: 25 * time.Millisecond,
 			lingers: i == 0,
@@ -59,7 +59,7 @@
 	}
 	time.Sleep(6 * time.Second)
 	if trouble {
-		rec.line("srv_slow: 1 of 6 runners works 5 times as long, for 6.5 s")
+		rec.line("srv_slow: 1 of 7 runners works 5 times as long, for 6.5 s")
 		w.runners[0].slow.Store(5)
 	}
 	time.Sleep(6500 * time.Millisecond)
@@ -71,7 +71,7 @@
 	both := 0
 	first := w.runners[0]
 	for id, x := range first.runs {
-		for _, r := range w.runners[1:6] {
+		for _, r := range w.runners[1:7] {
 			if y, ok := r.runs[id]; ok && y.began.After(x.began) && x.ended.Sub(y.began) > stillWorking {
 				both++
 				rec.say("BROKEN: %s went on at %s, where it was sent %.3f s after it was sent to %s, and %s still worked on it for %.3f s after that", id, r.id,
