request, entry: a stopping daemon takes no request that may outlast it

Cause: a request was judged by what requests like it took. That is a probable time, and it follows from the caller's estimate or from the past of the route, while the request may take all the tokens that its caller names.

A request that may not be repeated has to end surely now: a stream by the most tokens that its caller names, at the pace of the slowest recent or running streams of the service; else by its deadline. Others go on elsewhere and are judged by the probable time until the balancer has stopped sending connections, and then like the first.

The existing test of a stop took a plain call that may not be repeated for the short past of its route. It asks now that such a call is refused unless its deadline fits, and that one that may be repeated is still taken.

--- a/entry/forwarding.go
+++ b/entry/forwarding.go
@@ -220,6 +220,7 @@
 	Parts        []request.Part      `codec:"ps"`
 	PromptTokens int                 `codec:"pt"`
 	OutTokens    int                 `codec:"ot"`
+	MostTokens   int                 `codec:"mt,omitempty"`
 	Estimate     int                 `codec:"e"`
 	Stream       string              `codec:"sr,omitempty"` // id of the request that began the stream
 	Bound        bool                `codec:"b,omitempty"`  // Version has begun the stream
@@ -235,7 +236,7 @@
 		Method: r.Method, Path: r.Path, Host: x.Host, Header: c.in, Unrepeatable: r.Unrepeatable, Streaming: x.Streaming,
 		Priority: r.Route.Priority, Urgency: c.urgency, Target: r.Route.Target.Duration, Pause: x.Pause, WaitLimit: x.WaitLimit,
 		Left: a.Left, Attempts: a.Attempts, Prefix: x.Prefix, Parts: x.Parts, PromptTokens: x.PromptTokens, OutTokens: x.OutTokens,
-		Estimate: x.CallerEstimate,
+		MostTokens: x.MostTokens, Estimate: x.CallerEstimate,
 	}
 	m.Resumes, m.ResumeAfter = a.Position.Known, a.Position.Event
 	m.Stream, m.Bound, m.Version = streamID(r), x.Binding.State == request.Bound, x.Binding.Version
--- a/entry/forwardserver.go
+++ b/entry/forwardserver.go
@@ -145,7 +145,7 @@
 	req.Route.Priority, req.Route.Target.Duration = m.Priority, m.Target
 	req.Relay = &request.Relay{
 		Host: m.Host, Streaming: m.Streaming, Attempts: m.Attempts, Prefix: m.Prefix, PromptTokens: m.PromptTokens,
-		OutTokens: m.OutTokens, CallerEstimate: m.Estimate, Pause: m.Pause, Parts: m.Parts, WaitLimit: m.WaitLimit,
+		OutTokens: m.OutTokens, MostTokens: m.MostTokens, CallerEstimate: m.Estimate, Pause: m.Pause, Parts: m.Parts, WaitLimit: m.WaitLimit,
 		Forwarded: true, Position: request.Position{Known: m.Resumes || m.ResumeAfter > 0, Event: m.ResumeAfter},
 		OnStart:      func(at time.Time) { f.d.begun(m.Team, at) },
 		OnFirstEvent: f.d.meters.measured,
--- a/entry/ingress.go
+++ b/entry/ingress.go
@@ -309,7 +309,7 @@
 	req.Relay = &request.Relay{
 		Codec: &codec{in: platform.Forwarded(r.Header), team: team, urgency: urgency, unknown: &s.d.unknown},
 		Host:  r.Host, Streaming: o.route.Streaming, Attempts: o.route.Attempts,
-		Prefix: prefixID(o.call.Parts), PromptTokens: o.call.In, OutTokens: expectedTokens(o.call), CallerEstimate: o.call.Hint,
+		Prefix: prefixID(o.call.Parts), PromptTokens: o.call.In, OutTokens: expectedTokens(o.call), MostTokens: o.call.MostOut, CallerEstimate: o.call.Hint,
 		Pause: o.route.Pause, WaitLimit: c.WaitLimit(o.route, name), Parts: parts(o.call.Parts),
 		Resumes:      o.call.Resumes,
 		Position:     o.position(),
--- a/entry/stop.go
+++ b/entry/stop.go
@@ -26,7 +26,7 @@
 func (d *Daemon) Stop(ctx context.Context) {
 	began := time.Now()
 	d.stopping.Store(true)
-	d.Server.EndBy(clock.Now().Add(d.Site().Bounds.Grace - stopMargin))
+	d.Server.EndBy(clock.Now().Add(unreadyWait), clock.Now().Add(d.Site().Bounds.Grace-stopMargin))
 	d.updateReady(clock.Now())
 	d.inbound.Drain()
 	d.inbound.CloseIdle(began)
--- a/request/activeruns.go
+++ b/request/activeruns.go
@@ -6,6 +6,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"streambend.example/estimate"
 )
 
 // activeRuns holds the cancel functions of the running requests, for when a box resumes from suspension.
@@ -78,6 +80,35 @@
 	return max(running, p.first.Sub(p.sent)+time.Duration(pace*(events-1)))
 }
 
+// pace returns the time until the first event of the attempt, or without one so far, and the mean time from event to event, 0 if
+// it is not known yet.
+func (p *progress) pace(now time.Time) (first, pace time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.sent.IsZero():
+		return 0, 0
+	case p.events == 0:
+		return now.Sub(p.sent), 0
+	case p.events >= minProjectedEvents:
+		pace = max(p.last.Sub(p.first)/time.Duration(p.events-1), now.Sub(p.first)/time.Duration(p.events))
+	}
+	return p.first.Sub(p.sent), pace
+}
+
+// streams returns the progress of the streams of a service, by its key.
+func (s *activeRuns) streams(now time.Time, service string) (all estimate.Running) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for r := range s.cancels {
+		if x := r.req.Relay; x != nil && x.Streaming && r.req.Service.Key() == service {
+			first, pace := r.progress.pace(now)
+			all.First, all.Pace = max(all.First, first), max(all.Pace, pace)
+		}
+	}
+	return all
+}
+
 // longest returns how long the longest of the running requests of a route takes in all, at least, of those of known size that are no
 // larger than r, or of unknown size if that of r is not known.
 func (s *activeRuns) longest(now time.Time, r *Request) (longest time.Duration) {
--- a/request/relay.go
+++ b/request/relay.go
@@ -58,6 +58,7 @@
 	Prefix         uint64 // hash of the shared prefix of the prompt; 0 for none
 	PromptTokens   int
 	OutTokens      int                                 // expected tokens of the answer
+	MostTokens     int                                 // the most tokens that the answer may have; 0 if not known
 	CallerEstimate int                                 // the caller's estimate of OutTokens; 0 for none
 	Pause          time.Duration                       // longest pause in a stream that counts as in time; 0 if not known
 	Parts          []Part                              // parts of the prompt, in order
@@ -253,7 +254,7 @@
 			return
 		}
 		// Once a stopping server would not repeat the request, a slow answer is better than none.
-		if r.Server.EndsTooLate(r.Now(), r.req) == nil && r.work.Budget.TakeSpare(r.Now()) {
+		if r.endsTooLateAgain(r.Now(), r.req, 0) == nil && r.work.Budget.TakeSpare(r.Now()) {
 			r.retryCharged.Store(true)
 			cancel(errSilent)
 			return
--- a/request/relay_test.go
+++ b/request/relay_test.go
@@ -230,20 +230,26 @@
 			before <- w.ask(t, relayAsk{id: "before", path: "/long", wait: 5 * time.Second, unrepeatable: true})
 		}()
 		synctest.Wait()
-		w.server.EndBy(time.Now().Add(time.Second))
+		w.server.EndBy(time.Now().Add(time.Second), time.Now().Add(time.Second))
 		began := time.Now()
 		for _, c := range []struct {
-			path   string
-			wait   time.Duration
-			status int
-		}{{"/long", 5 * time.Second, 0}, {"/short", 5 * time.Second, http.StatusOK}, {"/new", 5 * time.Second, 0}, {"/new", 500 * time.Millisecond, http.StatusOK}} {
-			assert.Equal(t, c.status, w.ask(t, relayAsk{id: c.path + c.wait.String(), path: c.path, wait: c.wait, unrepeatable: true}), "%s within %s", c.path, c.wait)
+			path     string
+			wait     time.Duration
+			repeated bool
+			status   int
+		}{
+			{"/long", 5 * time.Second, false, 0}, {"/long", 5 * time.Second, true, 0},
+			{"/short", 5 * time.Second, false, 0}, {"/short", 5 * time.Second, true, http.StatusOK}, {"/short", 500 * time.Millisecond, false, http.StatusOK},
+			{"/new", 5 * time.Second, false, 0}, {"/new", 5 * time.Second, true, 0}, {"/new", 500 * time.Millisecond, false, http.StatusOK},
+		} {
+			id := fmt.Sprint(c.path, c.wait, c.repeated)
+			assert.Equal(t, c.status, w.ask(t, relayAsk{id: id, path: c.path, wait: c.wait, unrepeatable: !c.repeated}), id)
 		}
 		assert.Less(t, time.Since(began), 50*time.Millisecond)
 		assert.Equal(t, http.StatusOK, <-before)
 		mu.Lock()
 		defer mu.Unlock()
-		assert.Equal(t, map[string]int{"/long": 21, "/short": 21, "/new": 1}, arrived)
+		assert.Equal(t, map[string]int{"/long": 21, "/short": 22, "/new": 1}, arrived)
 	})
 }
 
@@ -260,7 +266,7 @@
 		}()
 		time.Sleep(300 * time.Millisecond)
 		began := time.Now()
-		w.server.EndBy(began.Add(time.Second))
+		w.server.EndBy(began, began.Add(time.Second))
 		assert.Less(t, (<-ended).Sub(began), 100*time.Millisecond)
 	})
 }
--- a/request/servicestate.go
+++ b/request/servicestate.go
@@ -18,6 +18,8 @@
 	Budget Retries
 	Speed  *Speed         // of a service with engines
 	Times  estimate.Times // of the answers, by route
+
+	Streams estimate.Streams // of the answers that are streams
 }
 
 // Options configure how a daemon serves requests.
--- a/request/settle.go
+++ b/request/settle.go
@@ -260,6 +260,13 @@
 	if r.succeeded && (r.attempts == 1 && !r.continues || r.answersWhole()) {
 		r.work.Times.Record(now, r.req.Route.Name, estimate.Sample{Size: r.req.size(), Took: r.endpointTime(now), Events: r.events, Probe: r.probe})
 	}
+	if x := r.req.Relay; r.succeeded && r.attempts == 1 && x != nil && x.Streaming {
+		s := estimate.Stream{Prompt: x.PromptTokens, First: r.first, Took: r.endpointTime(now), Events: r.events}
+		if !r.continues { // otherwise the caller's estimate is for more than these events
+			s.Estimate = x.CallerEstimate
+		}
+		r.work.Streams.Record(now, s)
+	}
 	if r.req.Relay != nil && r.req.Relay.Streaming {
 		r.answer.settle(nil)
 		return
--- a/request/stop_test.go
+++ b/request/stop_test.go
@@ -41,7 +41,8 @@
 type streamAsk struct {
 	id       string
 	events   int
-	tokens   int // that the request says it has
+	tokens   int // that its caller expects
+	most     int // that its caller names as the most; 0 for tokens
 	has      request.Position
 	repeated bool // the stream may be repeated
 }
@@ -49,21 +50,26 @@
 // stream relays a request for a stream, and returns the events that arrived.
 func (w *relayWorld) stream(ctx context.Context, a streamAsk) (events int, err *code.Error) {
 	out, now := httptest.NewRecorder(), time.Now()
+	if a.most == 0 {
+		a.most = a.tokens
+	}
 	err = w.server.Relay(ctx, &request.Request{
 		ID: a.id, Service: w.service, Route: version.Route{Name: "stream"}, Arrived: now, Deadline: now.Add(15 * time.Second), Unrepeatable: !a.repeated,
 		Path: fmt.Sprint("/stream?", a.events), Method: http.MethodPost, Header: http.Header{}, Body: []byte("body"),
-		Relay: &request.Relay{Codec: relayCodec{a.id}, Out: out, Host: "some.example", Attempts: 2, Streaming: true, OutTokens: a.tokens, Position: a.has},
+		Relay: &request.Relay{Codec: relayCodec{a.id}, Out: out, Host: "some.example", Attempts: 2, Streaming: true, OutTokens: a.tokens, MostTokens: a.most, CallerEstimate: a.tokens, Position: a.has},
 	})
 	return strings.Count(out.Body.String(), "id: "), err
 }
 
 // streamStop plays a stop of a server that has served streams before, and counts what callers get.
 type streamStop struct {
-	before  []streamAsk // one after the other
-	sent    map[int]int // by number of events
-	served  map[int]int
-	cut     int
-	longest time.Duration // until a refusal
+	before   []streamAsk   // one after the other
+	strict   time.Duration // after the stop
+	sent     map[int]int   // by number of events
+	served   map[int]int
+	cut      int
+	strictly int           // of those sent after strict
+	longest  time.Duration // until a refusal
 }
 
 func (p *streamStop) play(t *testing.T, asks []streamAsk) {
@@ -78,7 +84,7 @@
 	wg.Wait()
 	ctx, kill := context.WithCancel(t.Context())
 	const grace = 7600 * time.Millisecond
-	w.server.EndBy(time.Now().Add(grace))
+	w.server.EndBy(time.Now().Add(p.strict), time.Now().Add(grace))
 	time.AfterFunc(grace, kill)
 	p.sent, p.served = make(map[int]int), make(map[int]int)
 	for at := time.Duration(0); at < 6*time.Second; at += 100 * time.Millisecond {
@@ -95,6 +101,9 @@
 					p.served[a.events]++
 				case events > 0 || err.Code.Ran() != code.NotRun:
 					p.cut++
+					if at > p.strict {
+						p.strictly++
+					}
 				default:
 					p.longest = max(p.longest, time.Since(began))
 				}
@@ -161,7 +170,7 @@
 		}
 		time.Sleep(2 * time.Second)
 		began := time.Now()
-		w.server.EndBy(began.Add(7600 * time.Millisecond))
+		w.server.EndBy(began, began.Add(7600*time.Millisecond))
 		time.Sleep(50 * time.Millisecond)
 		mu.Lock()
 		assert.Len(t, refused, 7)
@@ -191,7 +200,7 @@
 				assert.Nil(t, ask(fmt.Sprint("before-", i), []int{5, 76}[i%2]))
 			}
 			began := time.Now()
-			time.AfterFunc(200*time.Millisecond, func() { w.server.EndBy(began.Add(4 * time.Second)) })
+			time.AfterFunc(200*time.Millisecond, func() { w.server.EndBy(began, began.Add(4*time.Second)) })
 			err := ask("a", events)
 			if events == 5 {
 				assert.Nil(t, err)
@@ -225,7 +234,7 @@
 		var wg sync.WaitGroup
 		wg.Go(func() { w.stream(t.Context(), streamAsk{id: "slow", events: 20, tokens: 100}) })
 		time.Sleep(3 * time.Second)
-		w.server.EndBy(time.Now().Add(7600 * time.Millisecond))
+		w.server.EndBy(time.Now(), time.Now().Add(7600*time.Millisecond))
 		_, err := w.stream(t.Context(), streamAsk{id: "a", events: 20, tokens: 100})
 		if assert.NotNil(t, err) {
 			assert.Equal(t, code.Draining, err.Code)
