entry: a daemon that has a row does not take its start for the first of the system

Cause: with bootstrap a daemon takes its first list for the whole history of a service's versions, so the only one listed is certain. Streams, the levels of limits, the budget of repeats and held back requests go by that setting.

The daemon now writes its row under the condition that there is none before anything goes by the setting; with a row, or without a clear answer, it starts as after a restart. No call more than before.

--- a/entry/daemon.go
+++ b/entry/daemon.go
@@ -123,18 +123,20 @@
 		return nil, err
 	}
 	slept := clock.Refresh() // includes the time before this process started
-	d := &Daemon{began: clock.Now(), suspendedTotal: slept, network: n, without: without, log: log, meters: newMeters(), quotas: quota.New(site.First)}
+	d := &Daemon{began: clock.Now(), suspendedTotal: slept, network: n, without: without, log: log, meters: newMeters()}
 	d.unknown.log = log
 	d.buffers = newBuffers(site)
 	d.contact = newContact(d.began)
 	d.outageLog.d = d
 	d.wall = NewWall(d.began, time.Now())
-	d.site.Store(&site)
 	d.ctx, d.cancel = context.WithCancel(context.Background())
 	d.Self = conn.Member{Name: site.Name, Start: time.Now().UnixMilli(), Address: site.PeerAddr, Zone: site.Zone, Power: int(100 * site.CPUShare)}
 	d.externalClient = seam.HTTPClient(n, 0)
 	d.externalClient.Transport = countingTransport{d.externalClient.Transport, d.meters}
 	d.store = platform.NewStore(site.Store, d.externalClient)
+	site.First = site.First && d.writeFirstMember(d.ctx) // before anything goes by it
+	d.site.Store(&site)
+	d.quotas = quota.New(site.First)
 	d.table = &platform.Table{Store: d.store, Name: ownTable}
 	d.cloud = platform.NewCloud(site.Cloud, d.externalClient)
 	d.catalog.d = d
--- a/entry/members.go
+++ b/entry/members.go
@@ -8,6 +8,8 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"streambend.example/clock"
 	"streambend.example/conn"
 	"streambend.example/platform"
@@ -36,7 +38,7 @@
 	d.connectSeeds() // before the first call to the store, which may only fail by its timeout
 	written, read := false, false
 	if d.Site().First {
-		written = d.writeMember(ctx)
+		written = true // by writeFirstMember
 		sleep(ctx, rowsSettleTime)
 	} else {
 		// A daemon that restarts finds its row, and need not write it.
@@ -79,17 +81,30 @@
 }
 
 // writeMember writes this daemon's row, and reports whether that succeeded.
-func (d *Daemon) writeMember(ctx context.Context) bool {
+func (d *Daemon) writeMember(ctx context.Context) bool { return d.applyMember(ctx) == nil }
+
+// writeFirstMember writes this daemon's row, and reports whether it had none before. Otherwise the system has run before, although
+// the settings still say that it starts for the first time. It reports false as well if the store gives no clear answer.
+func (d *Daemon) writeFirstMember(ctx context.Context) bool {
+	err := d.applyMember(ctx, platform.Condition{Table: memberTable, Part: d.Self.Zone, Key: d.Self.Name})
+	if errors.Is(err, platform.ErrConflict) {
+		d.log.WithField("part", "members").Info("not the first start of the system, as there is a row of this daemon")
+	}
+	return err == nil
+}
+
+// applyMember writes this daemon's row under some conditions.
+func (d *Daemon) applyMember(ctx context.Context, conditions ...platform.Condition) error {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeCallTimeout)
 	defer cancel()
 	v, err := json.Marshal(d.Self)
 	if err == nil {
-		_, err = d.store.Apply(ctx, platform.Change{Write: []platform.Row{{Table: memberTable, Part: d.Self.Zone, Key: d.Self.Name, Value: v}}})
+		_, err = d.store.Apply(ctx, platform.Change{If: conditions, Write: []platform.Row{{Table: memberTable, Part: d.Self.Zone, Key: d.Self.Name, Value: v}}})
 	}
-	if err != nil {
+	if err != nil && !errors.Is(err, platform.ErrConflict) {
 		d.log.WithField("part", "members").Warnf("own member row not written: %v", err)
 	}
-	return err == nil
+	return err
 }
 
 // readZone reads the rows of this daemon's zone, and reports whether its own current row is among them.
