seam: a reset during a write is no end of the connection

Callers got a part of an answer as the whole: an endpoint that answers a long upload at once without a length, and resets the connection while the upload is still written.

Cause: Linux hands the error of a socket to one system call. If that is the write, the read next to it returns 0 bytes without an error, and an answer without a length ends with its connection.

A connection now keeps the error of its writes. At an end during a write, the state of the socket tells an end in order (close-wait) from a reset (closed); after a reset the write has ended, and its error decides: EPIPE follows an end in order, ECONNRESET does not. As it stands at the network, it holds for endpoints, daemons, store and cloud.

--- a/seam/network.go
+++ b/seam/network.go
@@ -45,7 +45,11 @@
 		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: t.UnackedTimeout / 2, Interval: t.UnackedTimeout / 4, Count: 2}
 		d.Control = func(_, _ string, c syscall.RawConn) error { return setUserTimeout(c, t.UnackedTimeout) }
 	}
-	return d.DialContext(ctx, network, address)
+	c, err := d.DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return reportResets(c), nil
 }
 
 // setUserTimeout limits the time that sent bytes may stay unacknowledged.
