seam, conn, request: an answer whose head breaks the protocol is none

Callers got answers of endpoints in trouble that were none: with a blank in the name of a field, with a body that went on to the close after "Content-Length : 4", with the framing of the chunks as their body after "Transfer-Encoding : chunked"; with a status below 100 they lost their connection. Such endpoints are fast, so that they got more calls than others.

Cause: net/http takes any name without control bytes and any three digits, and the head was used without a look at it.

One transport under each HTTP client checks the head: endpoints, daemons, health, store and cloud. The endpoint is ejected at once, as for heads without end, also for the heads that net/http refuses itself.

--- a/conn/endpoint.go
+++ b/conn/endpoint.go
@@ -124,7 +124,7 @@
 	single := &http.Transport{
 		DialContext: gated(c.dial), DisableKeepAlives: true, DisableCompression: true, MaxResponseHeaderBytes: seam.MaxAnswerHead,
 	}
-	c.pooled, c.single = &http.Client{Transport: pooled}, &http.Client{Transport: single}
+	c.pooled, c.single = &http.Client{Transport: seam.CheckHeads(pooled)}, &http.Client{Transport: seam.CheckHeads(single)}
 	return c
 }
 
@@ -168,11 +168,25 @@
 	return resp, nil
 }
 
-// headError returns ErrTooLong for an answer whose head is too long, for which net/http has no error of its own to compare with.
+// ErrBadHead reports an answer whose head breaks the protocol. It is ErrMalformed.
+var ErrBadHead = errors.Wrap(ErrMalformed, "head of an answer")
+
+// badHeads are parts of the errors of net/http for heads that it refuses, which have no type to compare with.
+var badHeads = [...]string{"malformed", "Content-Length", "transfer encoding"}
+
+// headError returns ErrTooLong for an answer whose head is too long, and ErrBadHead for one that breaks the protocol.
 func headError(err error) error {
-	if text := err.Error(); strings.Contains(text, "server response headers exceeded") {
+	text := err.Error()
+	if strings.Contains(text, "server response headers exceeded") {
 		return errors.Wrap(ErrTooLong, text)
 	}
+	bad := errors.Is(err, seam.ErrBadHead)
+	for _, part := range badHeads {
+		bad = bad || strings.Contains(text, part)
+	}
+	if bad {
+		return errors.Wrap(ErrBadHead, text)
+	}
 	return err
 }
 
--- a/request/settle.go
+++ b/request/settle.go
@@ -143,7 +143,7 @@
 		}
 	case EndedUnsent, EndedBroken:
 		fail := t.Fail
-		if errors.Is(failure, conn.ErrTooLong) {
+		if errors.Is(failure, conn.ErrTooLong) || errors.Is(failure, conn.ErrBadHead) {
 			fail = t.FailAtOnce
 		}
 		if _, leaving := t.Leaving(); !leaving && fail(now, e == EndedUnsent) {
--- a/seam/network.go
+++ b/seam/network.go
@@ -69,8 +69,8 @@
 
 // HTTPClient returns an HTTP client over a Network. Its calls end after the timeout, 0 for none.
 func HTTPClient(n Network, timeout time.Duration) *http.Client {
-	return &http.Client{Timeout: timeout, Transport: &http.Transport{
+	return &http.Client{Timeout: timeout, Transport: CheckHeads(&http.Transport{
 		DialContext: n.Dial, MaxIdleConnsPerHost: 64, IdleConnTimeout: 90 * time.Second, DisableCompression: true,
 		MaxResponseHeaderBytes: MaxAnswerHead,
-	}}
+	})}
 }
