--- a/request/forward.go
+++ b/request/forward.go
@@ -128,7 +128,7 @@
 	r.told = result.Binding
 	head := x.Codec.Read(resp.StatusCode, resp.Header)
 	switch {
-	case head.ID != "" && head.ID != r.req.ID, head.ID == "" && resp.StatusCode < http.StatusBadRequest:
+	case !head.answers(r.req.ID):
 		return EndedBroken, nil, errOtherAnswer
 	case resp.StatusCode < http.StatusMultipleChoices && !head.Signed:
 		return EndedBroken, nil, errUnsigned
--- a/request/relay.go
+++ b/request/relay.go
@@ -47,6 +47,10 @@
 	Said pace.Feedback
 }
 
+// answers reports whether the answer is to the request with an id. Only one that says that the request was not run may lack the id;
+// any other one may be a surplus answer to the request before.
+func (h AnswerHead) answers(id string) bool { return h.ID == id || h.ID == "" && h.NotRun }
+
 // Relay is a request whose answer is forwarded as it arrives, without parsing its
 // content.
 type Relay struct {
@@ -157,11 +161,11 @@
 		c.Target.Report(now, head.Load, head.Slots)
 		c.Target.places.Correct(now, head.Load-int(c.Target.ownLoad.Load()))
 	}
-	if head.Own && (head.ID == r.req.ID || head.ID == "") {
+	if head.Own && head.answers(r.req.ID) {
 		r.recordAdvertised(c.Target, head) // an answer to another request may carry older values
 	}
 	switch {
-	case head.ID != "" && head.ID != r.req.ID, head.ID == "" && resp.StatusCode < http.StatusBadRequest:
+	case !head.answers(r.req.ID):
 		return EndedBroken, errOtherAnswer
 	case head.NotRun:
 		c.Target.Dropped(r.Now(), mark)
