entry: the test of a doubtful request does not take three endpoints for granted

TestADoubtfulRequestIsTriedOnceAndServed failed once in 93 plays: routing, which is drawn, had sent its twelve requests to two endpoints, and three have to end under a request until it is held back. The play now sends more of them until three endpoints run it, before they end; all checks are as before.

--- a/entry/crashconcurrent_test.go
+++ b/entry/crashconcurrent_test.go
@@ -113,7 +113,12 @@
 			return served, refused
 		}
 		go func() {
-			time.Sleep(200 * time.Millisecond) // before the first is answered
+			time.Sleep(150 * time.Millisecond)
+			for extra := 0; w.reached() < minSuspected; extra++ { // routing is drawn
+				go w.askFor(extra%4, http.MethodPost, "/digest/", fmt.Sprint("new-extra-", extra), "new to all")
+				time.Sleep(2 * time.Millisecond)
+			}
+			time.Sleep(50 * time.Millisecond) // before the first is answered
 			for _, r := range w.runners[:8] {
 				r.Close()
 			}
@@ -137,6 +142,19 @@
 	})
 }
 
+// minSuspected is the number of endpoints that end under a request until it is suspected.
+const minSuspected = 3
+
+// reached returns the number of endpoints that have begun to run a request.
+func (w *world) reached() (n int) {
+	for _, r := range w.runners {
+		if len(r.Ran()) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // ran returns how many requests the endpoints have begun to run.
 func (w *world) ran() (n int) {
 	for _, r := range w.runners {
