request: a stream has no more events than its tokens allow

A stream whose ids rise without end held its caller until the deadline, and its endpoint got further streams.

Cause: each event with a higher id is progress, and nothing bounds their number.

An event has a token or more, so that the most tokens that the caller names bound the events: two for each, and 64 more, are beyond any sound stream. The endpoint is ejected at once, as for other answers without end.

--- a/request/relaystream.go
+++ b/request/relaystream.go
@@ -32,7 +32,17 @@
 // maxComments is the maximum size in bytes of the comments before an event.
 const maxComments = 16 << 10
 
-var errComments = errors.Wrap(conn.ErrTooLong, "comments before an event")
+const (
+	// eventsPerToken is how many events a token may have, at most.
+	eventsPerToken = 2
+	// extraEvents is how many events a stream may have besides those of its tokens.
+	extraEvents = 64
+)
+
+var (
+	errComments = errors.Wrap(conn.ErrTooLong, "comments before an event")
+	errEvents   = errors.Wrap(conn.ErrTooLong, "more events than tokens")
+)
 
 // forwardEvents forwards a stream event by event. The head is written with the first
 // event, so that until then the request can be retried elsewhere.
@@ -67,6 +77,8 @@
 		}
 		s.record(ev)
 		switch {
+		case x.MostTokens > 0 && s.events > eventsPerToken*x.MostTokens+extraEvents:
+			return EndedBroken, errEvents
 		case ev.ID >= 0 && x.Position.passed(ev.ID):
 			return EndedBroken, errEventOrder
 		case ev.ID < 0 && !ev.Comment && x.Position.Known:
