request: a stream that goes far beyond the tokens that its caller names is sound

Their callers name 10 tokens as the most, and their engines send 200 and 400 events: one cut a stream, the other one all of its load.

Cause: the most that a caller names was taken for a bound that each engine keeps. 16 events for each of these tokens and 1,024 more are the bound now, which a stream without end reaches in a fraction of a second, and streams that overshoot do not.

--- a/request/endlessstream_test.go
+++ b/request/endlessstream_test.go
@@ -31,7 +31,9 @@
 					if _, err := fmt.Fprintf(c, "id: %d\ndata: x\n\n", id); err != nil {
 						return
 					}
-					time.Sleep(time.Millisecond)
+					if id%20 == 0 {
+						time.Sleep(time.Millisecond)
+					}
 				}
 			})}
 			for range 3 {
--- a/request/relaystream.go
+++ b/request/relaystream.go
@@ -33,10 +33,11 @@
 const maxComments = 16 << 10
 
 const (
-	// eventsPerToken is how many events a token may have, at most.
-	eventsPerToken = 2
-	// extraEvents is how many events a stream may have besides those of its tokens.
-	extraEvents = 64
+	// eventsPerToken is how many events a stream may have, at most, for each token that its caller names as the most. An engine
+	// that goes far beyond these is sound.
+	eventsPerToken = 16
+	// extraEvents is how many events a stream may have besides.
+	extraEvents = 1024
 )
 
 var (
